--- /dev/null
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Benchmarks and load generator.
+ */
+package io.lentilstream.benchmarks;
--- /dev/null
+++ b/cli/src/main/java/io/lentilstream/cli/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The command line.
+ */
+package io.lentilstream.cli;
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The entry daemon.
+ */
+package io.lentilstream.entry;
--- /dev/null
+++ b/membership/src/main/java/io/lentilstream/membership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * View of the peers and propagation of settings.
+ */
+package io.lentilstream.membership;
--- /dev/null
+++ b/model/src/main/java/io/lentilstream/model/MonotonicTime.java
@@ -0,0 +1,83 @@
+package io.lentilstream.model;
+
+import java.time.Duration;
+
+/**
+ * Is an instant on the monotonic clock of this process. Instants of different processes
+ * cannot be compared.
+ *
+ * @param nanos nanoseconds since an arbitrary origin
+ */
+public record MonotonicTime(long nanos) implements Comparable<MonotonicTime> {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	/**
+	 * Creates an instant from milliseconds since the origin.
+	 * @param millis milliseconds since the origin of the clock
+	 * @return the instant
+	 */
+	public static MonotonicTime ofMillis(long millis) {
+		return new MonotonicTime(millis * NANOS_PER_MILLI);
+	}
+
+	/**
+	 * Returns the instant that lies the given duration after this one.
+	 * @param duration the duration to add; may be negative
+	 * @return the later instant
+	 */
+	public MonotonicTime plus(Duration duration) {
+		return new MonotonicTime(this.nanos + duration.toNanos());
+	}
+
+	/**
+	 * Returns the instant that lies the given number of milliseconds after this one.
+	 * @param millis milliseconds to add; may be negative
+	 * @return the later instant
+	 */
+	public MonotonicTime plusMillis(long millis) {
+		return new MonotonicTime(this.nanos + millis * NANOS_PER_MILLI);
+	}
+
+	/**
+	 * Returns the time from this instant until another one.
+	 * @param other the other instant
+	 * @return the duration; negative if the other instant is earlier
+	 */
+	public Duration until(MonotonicTime other) {
+		return Duration.ofNanos(other.nanos - this.nanos);
+	}
+
+	/**
+	 * Returns the whole milliseconds from this instant until another one.
+	 * @param other the other instant
+	 * @return milliseconds; negative if the other instant is earlier
+	 */
+	public long millisUntil(MonotonicTime other) {
+		return (other.nanos - this.nanos) / NANOS_PER_MILLI;
+	}
+
+	/**
+	 * Tells whether this instant lies before another one.
+	 * @param other the other instant
+	 * @return {@code true} if this instant is earlier
+	 */
+	public boolean isBefore(MonotonicTime other) {
+		return this.nanos - other.nanos < 0;
+	}
+
+	/**
+	 * Tells whether this instant lies after another one.
+	 * @param other the other instant
+	 * @return {@code true} if this instant is later
+	 */
+	public boolean isAfter(MonotonicTime other) {
+		return this.nanos - other.nanos > 0;
+	}
+
+	@Override
+	public int compareTo(MonotonicTime other) {
+		return Long.signum(this.nanos - other.nanos);
+	}
+
+}
--- /dev/null
+++ b/model/src/main/java/io/lentilstream/model/NotRunReason.java
@@ -0,0 +1,35 @@
+package io.lentilstream.model;
+
+/**
+ * Says why a request was refused before any endpoint ran it.
+ */
+public enum NotRunReason {
+
+	/** The estimated wait is longer than the time left until the deadline. */
+	DEADLINE_TOO_CLOSE,
+
+	/** The deadline passed while the request was queued. */
+	DEADLINE_PASSED,
+
+	/** The queue of the team or service is full. */
+	QUEUE_FULL,
+
+	/** The team is over its quota. */
+	OVER_QUOTA,
+
+	/** No endpoint of the service accepts work. */
+	NO_ENDPOINT,
+
+	/** Every endpoint that was tried refused the request before running it. */
+	REFUSED_BY_ENDPOINTS,
+
+	/** The store cannot be reached, and the request must be recorded before it runs. */
+	STORE_UNAVAILABLE,
+
+	/** The owner of the request's shard cannot be reached, and nothing was sent to it. */
+	OWNER_UNAVAILABLE,
+
+	/** This entry VM shuts down. */
+	SHUTTING_DOWN
+
+}
--- /dev/null
+++ b/requests/src/main/java/io/lentilstream/requests/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions for requests.
+ */
+package io.lentilstream.requests;
--- /dev/null
+++ b/shards/src/main/java/io/lentilstream/shards/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Ownership of shards and their logs.
+ */
+package io.lentilstream.shards;
--- /dev/null
+++ b/spec/src/main/java/io/lentilstream/spec/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Checks of the formal specification.
+ */
+package io.lentilstream.spec;
--- /dev/null
+++ b/standin/src/main/java/io/lentilstream/standin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * A stand-in platform on loopback.
+ */
+package io.lentilstream.standin;
--- /dev/null
+++ b/tasks/src/main/java/io/lentilstream/tasks/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decisions for tasks.
+ */
+package io.lentilstream.tasks;
--- /dev/null
+++ b/wire/src/main/java/io/lentilstream/wire/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Frames between entry VMs.
+ */
+package io.lentilstream.wire;
