--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/http/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * HTTP routes of the entry daemon.
+ */
+package io.lentilstream.entry.http;
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/timer/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Timers of the entry daemon.
+ */
+package io.lentilstream.entry.timer;
