--- a/requests/src/main/java/io/lentilstream/requests/package-info.java
+++ b/requests/src/main/java/io/lentilstream/requests/package-info.java
@@ -1,4 +1,5 @@
 /**
- * Decisions for requests.
+ * Decisions for urgent and batch requests: admission, queueing, routing, retries and
+ * graceful drain.
  */
 package io.lentilstream.requests;
