--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/requests/RequestDriver.java
@@ -0,0 +1,228 @@
+package io.lentilstream.entry.requests;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.lentilstream.model.MonotonicClock;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.NotRunReason;
+import io.lentilstream.model.RequestId;
+import io.lentilstream.model.RequestOutcome;
+import io.lentilstream.platform.EndpointClient;
+import io.lentilstream.platform.EndpointOutcome;
+import io.lentilstream.platform.EndpointRequest;
+import io.lentilstream.platform.KeyOutcome;
+import io.lentilstream.requests.AttemptResult;
+import io.lentilstream.requests.IncomingRequest;
+import io.lentilstream.requests.RequestAction;
+import io.lentilstream.requests.RequestScheduler;
+
+/**
+ * Carries out the actions of the request scheduler: sends attempts to endpoints, forwards
+ * requests to peers and completes the outcome of each request once.
+ */
+public final class RequestDriver {
+
+	private static final int SERVER_ERROR = 500;
+
+	private final RequestScheduler scheduler;
+
+	private final EndpointClient endpoints;
+
+	private final RequestForwarder forwarder;
+
+	private final MonotonicClock clock;
+
+	private final Map<RequestId, PendingRequest> pending = new ConcurrentHashMap<>();
+
+	/**
+	 * Creates a driver.
+	 * @param scheduler decides
+	 * @param endpoints sends attempts to endpoints
+	 * @param forwarder forwards requests to peers
+	 * @param clock tells the time
+	 */
+	public RequestDriver(RequestScheduler scheduler, EndpointClient endpoints, RequestForwarder forwarder,
+			MonotonicClock clock) {
+		this.scheduler = scheduler;
+		this.endpoints = endpoints;
+		this.forwarder = forwarder;
+		this.clock = clock;
+	}
+
+	/**
+	 * Takes in a request.
+	 * @param request what decisions look at
+	 * @param content the rest
+	 * @return the outcome; never completes exceptionally
+	 */
+	public CompletableFuture<RequestOutcome> submit(IncomingRequest request, RequestContent content) {
+		PendingRequest entry = new PendingRequest(request, content);
+		if (this.pending.putIfAbsent(request.id(), entry) != null) {
+			// The first submission of the id may run, so "not run" would be false.
+			return CompletableFuture.completedFuture(new RequestOutcome.Unknown(request.id()));
+		}
+		perform(this.scheduler.offer(this.clock.now(), request));
+		return entry.outcome();
+	}
+
+	/**
+	 * Gives up a request whose caller went away.
+	 * @param id the request
+	 */
+	public void cancel(RequestId id) {
+		if (this.pending.remove(id) != null) {
+			perform(this.scheduler.cancelled(this.clock.now(), id));
+		}
+	}
+
+	/**
+	 * Does what is due.
+	 */
+	public void tick() {
+		perform(this.scheduler.tick(this.clock.now()));
+	}
+
+	/**
+	 * Returns the number of requests whose caller has no outcome yet.
+	 * @return the count
+	 */
+	public int pendingCount() {
+		return this.pending.size();
+	}
+
+	/**
+	 * Carries out actions in order.
+	 * @param actions the actions of the scheduler
+	 */
+	public void perform(List<RequestAction> actions) {
+		for (RequestAction action : actions) {
+			perform(action);
+		}
+	}
+
+	private void perform(RequestAction action) {
+		PendingRequest entry = this.pending.get(action.request());
+		if (action instanceof RequestAction.Dispatch dispatch) {
+			dispatch(entry, dispatch);
+		}
+		else if (action instanceof RequestAction.Forward forward) {
+			forward(entry, forward);
+		}
+		else if (action instanceof RequestAction.Deliver deliver) {
+			finish(entry, (entry != null) ? entry.answer(deliver.attempt()) : null);
+		}
+		else if (action instanceof RequestAction.Refuse refuse) {
+			finish(entry, refuse.outcome());
+		}
+		else if (action instanceof RequestAction.ReportUnknown unknown) {
+			resolveUnknown(entry, unknown.outcome());
+		}
+	}
+
+	private void dispatch(PendingRequest entry, RequestAction.Dispatch dispatch) {
+		if (entry == null) {
+			completed(dispatch.request(), new AttemptResult.NotSent(dispatch.attempt()));
+			return;
+		}
+		MonotonicTime start = this.clock.now();
+		long timeout = Math.max(1, start.millisUntil(dispatch.deadline()));
+		RequestContent content = entry.content();
+		EndpointRequest request = new EndpointRequest(attemptId(dispatch.request(), dispatch.attempt()), content.key(),
+				content.method(), content.path(), content.headers(), content.body(), timeout);
+		entry.sentTo(dispatch.endpoint());
+		this.endpoints.send(dispatch.endpoint(), request)
+			.thenAccept((outcome) -> answered(entry, dispatch.attempt(), start, outcome));
+	}
+
+	private void answered(PendingRequest entry, int attempt, MonotonicTime start, EndpointOutcome outcome) {
+		completed(entry.request().id(), toResult(entry, attempt, start, outcome));
+	}
+
+	private AttemptResult toResult(PendingRequest entry, int attempt, MonotonicTime start, EndpointOutcome outcome) {
+		if (outcome instanceof EndpointOutcome.Answered answer) {
+			entry.keep(attempt, new RequestOutcome.Answered(answer.status(), answer.contentType(), answer.body()));
+			return new AttemptResult.Answered(attempt, answer.status() >= SERVER_ERROR, elapsed(start));
+		}
+		if (outcome instanceof EndpointOutcome.Refused refused) {
+			return new AttemptResult.Refused(attempt, refused.leaving());
+		}
+		if (outcome instanceof EndpointOutcome.NotSent) {
+			return new AttemptResult.NotSent(attempt);
+		}
+		return new AttemptResult.Broken(attempt);
+	}
+
+	private void forward(PendingRequest entry, RequestAction.Forward forward) {
+		if (entry == null) {
+			completed(forward.request(), new AttemptResult.NotSent(forward.attempt()));
+			return;
+		}
+		MonotonicTime start = this.clock.now();
+		RequestId attempt = attemptId(forward.request(), forward.attempt());
+		this.forwarder.forward(forward.peer(), attempt, entry.request(), entry.content(), forward.deadline())
+			.thenAccept(
+					(outcome) -> completed(entry.request().id(), toResult(entry, forward.attempt(), start, outcome)));
+	}
+
+	private AttemptResult toResult(PendingRequest entry, int attempt, MonotonicTime start, ForwardOutcome outcome) {
+		if (outcome instanceof ForwardOutcome.NotSent) {
+			return new AttemptResult.NotSent(attempt);
+		}
+		if (outcome instanceof ForwardOutcome.Replied replied) {
+			if (replied.outcome() instanceof RequestOutcome.Answered answer) {
+				entry.keep(attempt, answer);
+				return new AttemptResult.Answered(attempt, answer.status() >= SERVER_ERROR, elapsed(start));
+			}
+			if (replied.outcome() instanceof RequestOutcome.NotRun refusal) {
+				return new AttemptResult.Refused(attempt, refusal.reason() == NotRunReason.SHUTTING_DOWN);
+			}
+		}
+		return new AttemptResult.Broken(attempt);
+	}
+
+	// A request with a key may have run after all; the endpoint that got it last knows.
+	private void resolveUnknown(PendingRequest entry, RequestOutcome.Unknown unknown) {
+		if (entry == null) {
+			return;
+		}
+		if (entry.content().key().isEmpty() || entry.lastEndpoint() == null) {
+			finish(entry, unknown);
+			return;
+		}
+		this.endpoints.lookUp(entry.lastEndpoint(), entry.content().key().get()).thenAccept((outcome) -> {
+			if (outcome instanceof KeyOutcome.Ran ran) {
+				finish(entry, new RequestOutcome.Answered(ran.status(), ran.contentType(), ran.body()));
+			}
+			else {
+				finish(entry, unknown);
+			}
+		});
+	}
+
+	private void completed(RequestId id, AttemptResult result) {
+		perform(this.scheduler.completed(this.clock.now(), id, result));
+	}
+
+	private void finish(PendingRequest entry, RequestOutcome outcome) {
+		if (entry == null) {
+			return;
+		}
+		if (outcome == null) {
+			throw new IllegalStateException("an answer is delivered that did not arrive");
+		}
+		this.pending.remove(entry.request().id(), entry);
+		entry.outcome().complete(outcome);
+	}
+
+	private long elapsed(MonotonicTime start) {
+		return start.until(this.clock.now()).toNanos();
+	}
+
+	private static RequestId attemptId(RequestId id, int attempt) {
+		return new RequestId(id.value() + "." + attempt);
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/requests/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Carries out the decisions about requests.
+ */
+package io.lentilstream.entry.requests;
