Add the facade of the decisions for tasks and its log entries

Cause: the entry daemon is written against this facade at the same time. Change: TaskShard with its inputs, steps, actions, answers and views; log entries as MessagePack with a format version. The decisions are not written yet: every submission is refused and nothing is started. Conclusion: the daemon can compile against the types.

--- /dev/null
+++ b/tasks/src/main/java/io/lentilstream/tasks/TaskAction.java
@@ -0,0 +1,34 @@
+package io.lentilstream.tasks;
+
+import io.lentilstream.model.JobId;
+import io.lentilstream.model.TeamId;
+import io.lentilstream.model.VmId;
+
+/**
+ * Is something that the daemon carries out after the entries of the same step are
+ * durable.
+ */
+public sealed interface TaskAction {
+
+	/**
+	 * Send a command to a worker. Every command must be answered exactly once with
+	 * {@link TaskShard#workerAnswered}; a command whose connection broke or timed out is
+	 * answered with {@code NoReply}, and must not be able to arrive after that.
+	 *
+	 * @param vm the VM of the worker
+	 * @param command the command
+	 */
+	record Send(VmId vm, WorkerCommand command) implements TaskAction {
+	}
+
+	/**
+	 * Tell the caller of {@code submit} or {@code cancel} the result.
+	 *
+	 * @param team the team
+	 * @param job the key of the job
+	 * @param answer the result
+	 */
+	record Tell(TeamId team, JobId job, JobAnswer answer) implements TaskAction {
+	}
+
+}
--- /dev/null
+++ b/tasks/src/main/java/io/lentilstream/tasks/TaskShard.java
@@ -0,0 +1,270 @@
+package io.lentilstream.tasks;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Supplier;
+
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.JobId;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.model.TeamId;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.TaskReport;
+import io.lentilstream.platform.WorkerOutcome;
+
+/**
+ * Decides everything about the jobs and tasks of one owned shard. It does no I/O and
+ * reads no clock: inputs and times are passed in, and each input returns a
+ * {@link TaskStep}. All methods take the lock of the shard, so any thread may call them;
+ * the entries of all steps must be appended to the log in the order in which the steps
+ * were returned.
+ */
+public final class TaskShard {
+
+	private final ReentrantLock lock = new ReentrantLock();
+
+	private final ShardId shard;
+
+	private final Epoch epoch;
+
+	private final TaskSettings settings;
+
+	private TaskShard(ShardId shard, Epoch epoch, TaskSettings settings) {
+		this.shard = shard;
+		this.epoch = epoch;
+		this.settings = settings;
+	}
+
+	/**
+	 * Rebuilds a shard at a takeover. A fresh shard has no snapshot and no entries.
+	 * Nothing is committed before the first {@link #setCommitDeadline}.
+	 * @param shard the shard
+	 * @param epoch the epoch of this owner
+	 * @param takeover when the epoch marker of this owner became durable
+	 * @param released whether the earlier owner confirmed that it stopped
+	 * @param settings the settings
+	 * @param snapshot the newest snapshot, if any
+	 * @param entries the entries of all earlier epochs that follow the snapshot, in order
+	 * of the log; entries that the snapshot contains already may be among them
+	 * @return the shard, or why it cannot be rebuilt
+	 */
+	public static RecoveryOutcome recover(ShardId shard, Epoch epoch, MonotonicTime takeover, boolean released,
+			TaskSettings settings, Optional<byte[]> snapshot, List<byte[]> entries) {
+		return new RecoveryOutcome.Recovered(new TaskShard(shard, epoch, settings));
+	}
+
+	/**
+	 * Replaces the list of workers of the shard. A worker that is missing from the list
+	 * gets no new work, but its tasks are still renewed.
+	 * @param workers the workers
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep updateWorkers(Collection<WorkerDescription> workers, MonotonicTime now) {
+		return locked(() -> TaskStep.NOTHING);
+	}
+
+	/**
+	 * Replaces the quotas. A team without a quota has no hard limit and weight 1.
+	 * @param quotas the quotas of this shard
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep updateQuotas(Collection<TeamQuota> quotas, MonotonicTime now) {
+		return locked(() -> TaskStep.NOTHING);
+	}
+
+	/**
+	 * Accepts or refuses a job. The step always contains one {@link TaskAction.Tell}.
+	 * @param job the job
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep submit(JobSubmission job, MonotonicTime now) {
+		return locked(() -> new TaskStep(List.of(), List.of(new TaskAction.Tell(job.team(), job.job(),
+				new JobAnswer.Refused(JobRefusal.STORE_UNAVAILABLE, 1000)))));
+	}
+
+	/**
+	 * Cancels a job. The step always contains one {@link TaskAction.Tell}.
+	 * @param team the team
+	 * @param job the key of the job
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep cancel(TeamId team, JobId job, MonotonicTime now) {
+		return cancel(team, List.of(job), now);
+	}
+
+	/**
+	 * Cancels several jobs with one log entry. The step contains one
+	 * {@link TaskAction.Tell} per job.
+	 * @param team the team
+	 * @param jobs the keys of the jobs
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep cancel(TeamId team, Collection<JobId> jobs, MonotonicTime now) {
+		return locked(() -> {
+			List<TaskAction> actions = new ArrayList<>();
+			jobs.forEach((job) -> actions.add(new TaskAction.Tell(team, job, new JobAnswer.NotFound())));
+			return new TaskStep(List.of(), actions);
+		});
+	}
+
+	/**
+	 * Takes the outcome of a command to a worker.
+	 * @param vm the VM of the worker
+	 * @param command the command
+	 * @param outcome the outcome
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep workerAnswered(VmId vm, WorkerCommand command, WorkerOutcome outcome, MonotonicTime now) {
+		return locked(() -> TaskStep.NOTHING);
+	}
+
+	/**
+	 * Takes reports that arrived other than as the outcome of a command.
+	 * @param vm the VM of the worker
+	 * @param reports the reports
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep reportsArrived(VmId vm, List<TaskReport> reports, MonotonicTime now) {
+		return locked(() -> TaskStep.NOTHING);
+	}
+
+	/**
+	 * Sets the time after which nothing new is committed.
+	 * @param deadline the commit deadline
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep setCommitDeadline(MonotonicTime deadline, MonotonicTime now) {
+		return locked(() -> TaskStep.NOTHING);
+	}
+
+	/**
+	 * Does what is due: renewals, probes, lapsed leases, evictions and starts. To be
+	 * called every {@link TaskDefaults#TICK}.
+	 * @param now the current time
+	 * @return the step
+	 */
+	public TaskStep tick(MonotonicTime now) {
+		return locked(() -> TaskStep.NOTHING);
+	}
+
+	/**
+	 * Tells whether a start command may be sent now. To be asked directly before sending,
+	 * since the commit deadline may pass while the entries become durable.
+	 * @param now the current time
+	 * @return {@code true} before the commit deadline
+	 */
+	public boolean mayStart(MonotonicTime now) {
+		return locked(() -> false);
+	}
+
+	/**
+	 * Tells whether a worker refused a command because it has seen a higher epoch. The
+	 * daemon then drops this object; all inputs return empty steps.
+	 * @return {@code true} if there is a newer owner
+	 */
+	public boolean isFenced() {
+		return locked(() -> false);
+	}
+
+	/**
+	 * Returns the state that is to be durable. The snapshot contains the entries of all
+	 * steps returned so far, so its head must be written after these.
+	 * @return the bytes, which start with their format version
+	 */
+	public byte[] snapshot() {
+		return locked(() -> new byte[0]);
+	}
+
+	/**
+	 * Returns all known jobs.
+	 * @return the jobs, in the order of acceptance
+	 */
+	public List<JobView> jobs() {
+		return locked(List::of);
+	}
+
+	/**
+	 * Returns a job.
+	 * @param team the team
+	 * @param job the key of the job
+	 * @return the job, if it is known
+	 */
+	public Optional<JobView> job(TeamId team, JobId job) {
+		return locked(Optional::empty);
+	}
+
+	/**
+	 * Returns the tasks of a job.
+	 * @param team the team
+	 * @param job the key of the job
+	 * @return the tasks in the order of their indexes; empty if the job is not known
+	 */
+	public List<TaskView> tasks(TeamId team, JobId job) {
+		return locked(List::of);
+	}
+
+	/**
+	 * Returns the counts of the shard, for metrics.
+	 * @param now the current time
+	 * @return the counts
+	 */
+	public TaskCounts counts(MonotonicTime now) {
+		return locked(() -> new TaskCounts(java.util.Map.of(), 0, 0, 0, 0, 0, 0, 0, 0, 0, 0));
+	}
+
+	/**
+	 * Returns what is committed on each VM.
+	 * @return the commitments; VMs that are no longer listed are included while they hold
+	 * some
+	 */
+	public List<VmCommitment> commitments() {
+		return locked(List::of);
+	}
+
+	/**
+	 * Returns the shard.
+	 * @return the shard
+	 */
+	public ShardId shard() {
+		return this.shard;
+	}
+
+	/**
+	 * Returns the epoch of this owner.
+	 * @return the epoch
+	 */
+	public Epoch epoch() {
+		return this.epoch;
+	}
+
+	/**
+	 * Returns the settings.
+	 * @return the settings
+	 */
+	public TaskSettings settings() {
+		return this.settings;
+	}
+
+	private <T> T locked(Supplier<T> body) {
+		this.lock.lock();
+		try {
+			return body.get();
+		}
+		finally {
+			this.lock.unlock();
+		}
+	}
+
+}
--- /dev/null
+++ b/tasks/src/main/java/io/lentilstream/tasks/log/SubmissionFormat.java
@@ -0,0 +1,52 @@
+package io.lentilstream.tasks.log;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+import io.lentilstream.model.JobId;
+import io.lentilstream.model.Resources;
+import io.lentilstream.model.TeamId;
+import io.lentilstream.model.Urgency;
+import io.lentilstream.tasks.JobSubmission;
+import io.lentilstream.tasks.TaskDeclaration;
+
+/**
+ * Writes and reads a submission within entries and snapshots.
+ */
+final class SubmissionFormat {
+
+	private SubmissionFormat() {
+	}
+
+	static void write(MessagePacker packer, JobSubmission submission) throws IOException {
+		packer.packString(submission.team().value());
+		packer.packString(submission.job().value());
+		packer.packInt(submission.urgency().ordinal());
+		packer.packArrayHeader(submission.tasks().size());
+		for (TaskDeclaration task : submission.tasks()) {
+			packer.packLong(task.declared().milliCores());
+			packer.packLong(task.declared().memoryMegabytes());
+			packer.packLong(task.declared().accelerators());
+			packer.packString(task.program());
+			packer.packInt(task.count());
+		}
+	}
+
+	static JobSubmission read(MessageUnpacker unpacker) throws IOException {
+		TeamId team = new TeamId(unpacker.unpackString());
+		JobId job = new JobId(unpacker.unpackString());
+		Urgency urgency = Urgency.values()[unpacker.unpackInt()];
+		int count = unpacker.unpackArrayHeader();
+		List<TaskDeclaration> tasks = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			Resources declared = new Resources(unpacker.unpackLong(), unpacker.unpackLong(), unpacker.unpackLong());
+			tasks.add(new TaskDeclaration(declared, unpacker.unpackString(), unpacker.unpackInt()));
+		}
+		return new JobSubmission(team, job, urgency, tasks);
+	}
+
+}
--- /dev/null
+++ b/tasks/src/main/java/io/lentilstream/tasks/log/TaskLogCodec.java
@@ -0,0 +1,194 @@
+package io.lentilstream.tasks.log;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessagePacker;
+import org.msgpack.core.MessageUnpacker;
+
+import io.lentilstream.tasks.log.TaskLogEntry.CheckpointRecorded;
+import io.lentilstream.tasks.log.TaskLogEntry.JobAccepted;
+import io.lentilstream.tasks.log.TaskLogEntry.JobFailed;
+import io.lentilstream.tasks.log.TaskLogEntry.JobsCancelled;
+import io.lentilstream.tasks.log.TaskLogEntry.OrderMark;
+import io.lentilstream.tasks.log.TaskLogEntry.Placement;
+import io.lentilstream.tasks.log.TaskLogEntry.TaskFailed;
+import io.lentilstream.tasks.log.TaskLogEntry.TaskKey;
+import io.lentilstream.tasks.log.TaskLogEntry.TasksFinished;
+import io.lentilstream.tasks.log.TaskLogEntry.TasksPlaced;
+
+/**
+ * Encodes entries of the shard log as MessagePack: format version, type, fields.
+ */
+public final class TaskLogCodec {
+
+	/** The format version that is written and the only one that is read. */
+	public static final int VERSION = 1;
+
+	private static final int JOB_ACCEPTED = 1;
+
+	private static final int TASKS_PLACED = 2;
+
+	private static final int CHECKPOINT_RECORDED = 3;
+
+	private static final int TASKS_FINISHED = 4;
+
+	private static final int TASK_FAILED = 5;
+
+	private static final int JOB_FAILED = 6;
+
+	private static final int JOBS_CANCELLED = 7;
+
+	private static final int ORDER_MARK = 8;
+
+	private TaskLogCodec() {
+	}
+
+	/**
+	 * Encodes an entry.
+	 * @param entry the entry
+	 * @return the bytes
+	 */
+	public static byte[] encode(TaskLogEntry entry) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packInt(VERSION);
+			write(packer, entry);
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("writing to memory failed", ex);
+		}
+	}
+
+	/**
+	 * Decodes an entry.
+	 * @param bytes the bytes
+	 * @return the entry, or why it cannot be read
+	 */
+	public static LogDecodeOutcome decode(byte[] bytes) {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			int version = unpacker.unpackInt();
+			if (version != VERSION) {
+				return new LogDecodeOutcome.Unreadable(
+						"task log entry has format version " + version + ", expected " + VERSION);
+			}
+			TaskLogEntry entry = read(unpacker);
+			if (unpacker.hasNext()) {
+				return new LogDecodeOutcome.Unreadable("task log entry has bytes after its end");
+			}
+			return new LogDecodeOutcome.Decoded(entry);
+		}
+		catch (IOException | MessagePackException | IllegalArgumentException | IndexOutOfBoundsException ex) {
+			return new LogDecodeOutcome.Unreadable("task log entry is damaged: " + ex.getMessage());
+		}
+	}
+
+	private static void write(MessagePacker packer, TaskLogEntry entry) throws IOException {
+		if (entry instanceof JobAccepted accepted) {
+			packer.packInt(JOB_ACCEPTED);
+			packer.packLong(accepted.sequence());
+			SubmissionFormat.write(packer, accepted.submission());
+		}
+		else if (entry instanceof TasksPlaced placed) {
+			packer.packInt(TASKS_PLACED);
+			packer.packArrayHeader(placed.placements().size());
+			for (Placement placement : placed.placements()) {
+				writeKey(packer, placement.task());
+				packer.packLong(placement.worker());
+				packer.packInt(placement.size().coreSixteenths());
+				packer.packInt(placement.size().memorySixteenths());
+			}
+		}
+		else if (entry instanceof CheckpointRecorded recorded) {
+			packer.packInt(CHECKPOINT_RECORDED);
+			packer.packLong(recorded.sequence());
+			packer.packInt(recorded.index());
+			packer.packString(recorded.checkpoint());
+		}
+		else if (entry instanceof TasksFinished finished) {
+			packer.packInt(TASKS_FINISHED);
+			packer.packArrayHeader(finished.tasks().size());
+			for (TaskKey key : finished.tasks()) {
+				writeKey(packer, key);
+			}
+		}
+		else {
+			writeEnd(packer, entry);
+		}
+	}
+
+	private static void writeEnd(MessagePacker packer, TaskLogEntry entry) throws IOException {
+		if (entry instanceof TaskFailed failed) {
+			packer.packInt(TASK_FAILED);
+			writeKey(packer, failed.task());
+			packer.packString(failed.reason());
+		}
+		else if (entry instanceof JobFailed failed) {
+			packer.packInt(JOB_FAILED);
+			packer.packLong(failed.sequence());
+			packer.packString(failed.reason());
+		}
+		else if (entry instanceof JobsCancelled cancelled) {
+			packer.packInt(JOBS_CANCELLED);
+			packer.packArrayHeader(cancelled.sequences().size());
+			for (long sequence : cancelled.sequences()) {
+				packer.packLong(sequence);
+			}
+		}
+		else {
+			packer.packInt(ORDER_MARK);
+		}
+	}
+
+	private static TaskLogEntry read(MessageUnpacker unpacker) throws IOException {
+		int type = unpacker.unpackInt();
+		return switch (type) {
+			case JOB_ACCEPTED -> new JobAccepted(unpacker.unpackLong(), SubmissionFormat.read(unpacker));
+			case TASKS_PLACED -> new TasksPlaced(readList(unpacker, TaskLogCodec::readPlacement));
+			case CHECKPOINT_RECORDED ->
+				new CheckpointRecorded(unpacker.unpackLong(), unpacker.unpackInt(), unpacker.unpackString());
+			case TASKS_FINISHED -> new TasksFinished(readList(unpacker, TaskLogCodec::readKey));
+			case TASK_FAILED -> new TaskFailed(readKey(unpacker), unpacker.unpackString());
+			case JOB_FAILED -> new JobFailed(unpacker.unpackLong(), unpacker.unpackString());
+			case JOBS_CANCELLED -> new JobsCancelled(readList(unpacker, MessageUnpacker::unpackLong));
+			case ORDER_MARK -> new OrderMark();
+			default -> throw new IllegalArgumentException("unknown entry type " + type);
+		};
+	}
+
+	private static void writeKey(MessagePacker packer, TaskKey key) throws IOException {
+		packer.packLong(key.sequence());
+		packer.packInt(key.index());
+	}
+
+	private static TaskKey readKey(MessageUnpacker unpacker) throws IOException {
+		return new TaskKey(unpacker.unpackLong(), unpacker.unpackInt());
+	}
+
+	private static Placement readPlacement(MessageUnpacker unpacker) throws IOException {
+		TaskKey key = readKey(unpacker);
+		long worker = unpacker.unpackLong();
+		return new Placement(key, worker, new SizeFactor(unpacker.unpackInt(), unpacker.unpackInt()));
+	}
+
+	private static <T> List<T> readList(MessageUnpacker unpacker, Reader<T> reader) throws IOException {
+		int count = unpacker.unpackArrayHeader();
+		List<T> list = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			list.add(reader.read(unpacker));
+		}
+		return list;
+	}
+
+	@FunctionalInterface
+	private interface Reader<T> {
+
+		T read(MessageUnpacker unpacker) throws IOException;
+
+	}
+
+}
--- /dev/null
+++ b/tasks/src/main/java/io/lentilstream/tasks/log/TaskLogEntry.java
@@ -0,0 +1,101 @@
+package io.lentilstream.tasks.log;
+
+import java.util.List;
+
+import io.lentilstream.tasks.JobSubmission;
+
+/**
+ * Is one entry of the shard log about tasks. Applying an entry twice has the effect of
+ * applying it once, since a snapshot may already contain entries that follow it in the
+ * log.
+ */
+public sealed interface TaskLogEntry {
+
+	/**
+	 * A job was accepted.
+	 *
+	 * @param sequence the number of the job within the shard
+	 * @param submission the job
+	 */
+	record JobAccepted(long sequence, JobSubmission submission) implements TaskLogEntry {
+	}
+
+	/**
+	 * Tasks were placed; written before the start commands are sent.
+	 *
+	 * @param placements the placements
+	 */
+	record TasksPlaced(List<Placement> placements) implements TaskLogEntry {
+	}
+
+	/**
+	 * A worker completed a checkpoint.
+	 *
+	 * @param sequence the number of the job
+	 * @param index the index of the task
+	 * @param checkpoint the checkpoint
+	 */
+	record CheckpointRecorded(long sequence, int index, String checkpoint) implements TaskLogEntry {
+	}
+
+	/**
+	 * Tasks finished.
+	 *
+	 * @param tasks the tasks
+	 */
+	record TasksFinished(List<TaskKey> tasks) implements TaskLogEntry {
+	}
+
+	/**
+	 * A task will not be tried again.
+	 *
+	 * @param task the task
+	 * @param reason the reason
+	 */
+	record TaskFailed(TaskKey task, String reason) implements TaskLogEntry {
+	}
+
+	/**
+	 * No task of a job will be tried again.
+	 *
+	 * @param sequence the number of the job
+	 * @param reason the reason
+	 */
+	record JobFailed(long sequence, String reason) implements TaskLogEntry {
+	}
+
+	/**
+	 * Jobs were cancelled.
+	 *
+	 * @param sequences the numbers of the jobs
+	 */
+	record JobsCancelled(List<Long> sequences) implements TaskLogEntry {
+	}
+
+	/**
+	 * Nothing changed, but the actions of the step depend on entries that may not be
+	 * durable yet.
+	 */
+	record OrderMark() implements TaskLogEntry {
+	}
+
+	/**
+	 * Names a task within the shard.
+	 *
+	 * @param sequence the number of the job
+	 * @param index the index of the task within the job
+	 */
+	record TaskKey(long sequence, int index) {
+	}
+
+	/**
+	 * Places one task.
+	 *
+	 * @param task the task
+	 * @param worker the 8-byte index of the worker
+	 * @param size the committed size as parts of the declared size
+	 */
+	record Placement(TaskKey task, long worker, SizeFactor size) {
+	}
+
+}
