Add the settings file of the entry daemon

Cause: the entry daemon reads its addresses, keys, limits and leases from an INI file, and a wrong file must be reported completely.

--- /dev/null
+++ b/settings/src/main/java/io/lentilstream/settings/process/Secret.java
@@ -0,0 +1,53 @@
+package io.lentilstream.settings.process;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+
+/**
+ * Holds a key that must not reach logs, spans or errors.
+ */
+public final class Secret {
+
+	private final byte[] value;
+
+	/**
+	 * Creates a secret.
+	 * @param value the text of the key
+	 */
+	public Secret(String value) {
+		this.value = value.getBytes(StandardCharsets.UTF_8);
+	}
+
+	/**
+	 * Returns the bytes of the key.
+	 * @return a copy of the bytes
+	 */
+	public byte[] reveal() {
+		return this.value.clone();
+	}
+
+	/**
+	 * Compares a presented key with this one in constant time.
+	 * @param presented the presented key
+	 * @return {@code true} if they are equal
+	 */
+	public boolean matches(String presented) {
+		return MessageDigest.isEqual(this.value, presented.getBytes(StandardCharsets.UTF_8));
+	}
+
+	@Override
+	public boolean equals(Object other) {
+		return other instanceof Secret that && MessageDigest.isEqual(this.value, that.value);
+	}
+
+	@Override
+	public int hashCode() {
+		return Secret.class.hashCode();
+	}
+
+	@Override
+	public String toString() {
+		return "(secret)";
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/lentilstream/settings/process/SettingsMessages.java
@@ -0,0 +1,62 @@
+package io.lentilstream.settings.process;
+
+import org.ini4j.InvalidFileFormatException;
+
+/**
+ * Holds the texts of mistakes in settings files.
+ */
+final class SettingsMessages {
+
+	static final String NOTHING = "nothing";
+
+	static final String UNKNOWN_SECTION = "an unknown section";
+
+	static final String UNKNOWN_KEY = "an unknown key";
+
+	static final String REPEATED_SECTION = "the section more than once";
+
+	static final String REPEATED_KEY = "the key more than once";
+
+	static final String EXPECTED_ONCE = "it at most once";
+
+	static final String KEY_WITHOUT_SECTION = "a key before the first section";
+
+	static final String EXPECTED_SECTION = "a section line such as [vm] before it";
+
+	static final String UNREADABLE_FILE = "no readable file";
+
+	static final String EXPECTED_FILE = "a text file in UTF-8";
+
+	static final String EXPECTED_LINE = "[section], key = value, or a comment that starts with # or ;";
+
+	private static final int LONGEST_QUOTE = 80;
+
+	private SettingsMessages() {
+	}
+
+	static String unreadableLine(InvalidFileFormatException ex) {
+		return "a line that cannot be read (" + ex.getMessage() + ")";
+	}
+
+	static String nearest(String name) {
+		return "a known name; the nearest is '" + name + "'";
+	}
+
+	static String quoted(String text) {
+		String shown = (text.length() > LONGEST_QUOTE) ? text.substring(0, LONGEST_QUOTE) + "..." : text;
+		return "'" + shown + "'";
+	}
+
+	static String found(ValueType<?> type, String text) {
+		return type.isSecret() ? "a key of " + text.length() + " characters" : quoted(text);
+	}
+
+	static String both(String other) {
+		return "it beside " + other;
+	}
+
+	static String oneOf(String first, String second) {
+		return "either " + first + " or " + second;
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/lentilstream/settings/process/SettingsMistake.java
@@ -0,0 +1,29 @@
+package io.lentilstream.settings.process;
+
+/**
+ * Is one mistake in a settings file.
+ *
+ * @param file the name of the file
+ * @param section the section, or an empty text if the mistake is not in a section
+ * @param key the key, or an empty text if the mistake is not about a key
+ * @param found what was found
+ * @param expected what is expected
+ */
+public record SettingsMistake(String file, String section, String key, String found, String expected) {
+
+	/**
+	 * Returns the mistake as one line.
+	 * @return the line without line end
+	 */
+	public String line() {
+		String line = this.file + ": [" + this.section + "] " + this.key + ": found " + this.found + ", expected "
+				+ this.expected;
+		return line.replaceAll("[\\r\\n]+", " ");
+	}
+
+	@Override
+	public String toString() {
+		return line();
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/lentilstream/settings/process/SettingsResult.java
@@ -0,0 +1,30 @@
+package io.lentilstream.settings.process;
+
+import java.util.List;
+
+/**
+ * Is the result of reading a settings file.
+ *
+ * @param <T> the type of the settings
+ */
+public sealed interface SettingsResult<T> {
+
+	/**
+	 * The file is right.
+	 *
+	 * @param <T> the type of the settings
+	 * @param settings the settings
+	 */
+	record Loaded<T>(T settings) implements SettingsResult<T> {
+	}
+
+	/**
+	 * The file is wrong.
+	 *
+	 * @param <T> the type of the settings
+	 * @param mistakes all mistakes, at least one
+	 */
+	record Wrong<T>(List<SettingsMistake> mistakes) implements SettingsResult<T> {
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/lentilstream/settings/process/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Settings of the processes, read from INI files.
+ */
+package io.lentilstream.settings.process;
