--- a/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
+++ b/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
@@ -2,14 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeSet;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
@@ -17,185 +15,586 @@
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.NotRunReason;
 import io.lentilstream.model.RequestId;
-import io.lentilstream.model.RequestOutcome;
+import io.lentilstream.model.TeamId;
+import io.lentilstream.model.Urgency;
+import io.lentilstream.model.VmId;
 
 /**
- * Holds the requests and endpoints of one pool under one lock.
+ * Holds the requests and endpoints of one pool under one lock and applies the rules to
+ * each event.
  */
 final class ServiceShard {
 
-	private static final Comparator<Pending> ORDER = Comparator.<Pending, Integer>comparing((p) -> urgency(p))
-		.thenComparing((p) -> p.request.deadline())
-		.thenComparing((p) -> p.request.id());
+	/** The wait that is reported while no endpoint takes work. */
+	private static final Duration UNAVAILABLE_WAIT = Duration.ofHours(1);
+
+	/** Waiting requests of a team that are looked at to pass over held back ones. */
+	private static final int LOOKAHEAD = 16;
+
+	/** Time left, in medians of the run time, that a request must have to be a probe. */
+	private static final int PROBE_MEDIANS = 8;
+
+	private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
 
 	private final ServiceKey key;
 
-	private final Consumer<RequestId> forget;
+	private final RequestDefaults defaults;
+
+	private final RandomGenerator random;
+
+	private final TimerQueue timers = new TimerQueue();
+
+	private final ShardCounters counters = new ShardCounters();
+
+	private final SlotLedger ledger = new SlotLedger();
+
+	private final RunTimeEstimator runTimes = new RunTimeEstimator();
 
-	private final Map<EndpointId, OwnedEndpoint> endpoints = new LinkedHashMap<>();
+	private final UrgentReserveRule reserve = new UrgentReserveRule();
 
-	private final Map<EndpointId, Integer> inFlight = new HashMap<>();
+	private final EndpointControl control;
 
-	private final Map<RequestId, Pending> requests = new HashMap<>();
+	private final FinalActions finals;
 
-	private final TreeSet<Pending> queue = new TreeSet<>(ORDER);
+	private final Map<RequestId, Ticket> tickets = new HashMap<>();
 
-	private long dispatched;
+	private final Map<TeamId, TeamQueue> teams = new HashMap<>();
 
-	private long delivered;
+	private final Map<ServiceKey, RetryBudget> budgets = new HashMap<>();
 
-	private long refused;
+	private final Map<ServiceKey, Integer> queuedByService = new HashMap<>();
 
-	private long unknown;
+	private final Map<VmId, PeerView> peersById = new HashMap<>();
 
-	private long discarded;
+	private List<PeerView> peers = List.of();
+
+	private List<RequestAction> actions = new ArrayList<>();
+
+	private long now;
+
+	private long sequence;
+
+	private boolean draining;
+
+	private boolean drainEnded;
 
 	ServiceShard(ServiceKey key, RequestDefaults defaults, RandomGenerator random, Consumer<RequestId> forget) {
 		this.key = key;
-		this.forget = forget;
+		this.defaults = defaults;
+		this.random = random;
+		this.control = new EndpointControl(this.ledger, this.timers, defaults);
+		this.finals = new FinalActions(this.tickets, this.timers, this.counters, forget);
 	}
 
-	synchronized List<RequestAction> updatePolicy(MonotonicTime now, ServicePolicy policy) {
-		return List.of();
+	synchronized List<RequestAction> updatePolicy(MonotonicTime time, ServicePolicy policy) {
+		begin(time);
+		team(policy).limit(policy.weight(), policy.quota());
+		return finish();
 	}
 
-	synchronized List<RequestAction> updateEndpoints(MonotonicTime now, List<OwnedEndpoint> owned) {
-		this.endpoints.clear();
-		owned.forEach((endpoint) -> this.endpoints.put(endpoint.id(), endpoint));
-		return dispatchQueued(now);
+	synchronized List<RequestAction> updateEndpoints(MonotonicTime time, List<OwnedEndpoint> owned) {
+		begin(time);
+		this.control.update(this.now, owned);
+		if (this.ledger.accepting() == 0) {
+			moveQueued(NotRunReason.NO_ENDPOINT);
+		}
+		return finish();
 	}
 
-	synchronized List<RequestAction> updatePeers(MonotonicTime now, List<PeerReport> reports) {
-		return List.of();
+	synchronized List<RequestAction> updatePeers(MonotonicTime time, List<PeerReport> reports) {
+		begin(time);
+		Set<VmId> named = new HashSet<>();
+		for (PeerReport report : reports) {
+			named.add(report.peer());
+			this.peersById.computeIfAbsent(report.peer(), PeerView::new).update(report);
+		}
+		this.peersById.keySet().retainAll(named);
+		this.peers = List.copyOf(this.peersById.values());
+		forwardQueued();
+		return finish();
 	}
 
-	synchronized List<RequestAction> offer(MonotonicTime now, IncomingRequest request, ServicePolicy policy) {
-		Pending pending = new Pending(request);
-		this.requests.put(request.id(), pending);
-		this.queue.add(pending);
-		return dispatchQueued(now);
+	synchronized List<RequestAction> offer(MonotonicTime time, IncomingRequest request, ServicePolicy policy) {
+		begin(time);
+		fireTimers();
+		Urgency urgency = Ticket.effectiveUrgency(request, policy);
+		RunTimeGroup group = this.runTimes.group(policy, urgency, request.declaredMillis());
+		RetryBudget budget = this.budgets.computeIfAbsent(policy.service(), (service) -> new RetryBudget());
+		Ticket ticket = new Ticket(request, policy, group, budget, team(policy), this.sequence++);
+		this.tickets.put(ticket.id, ticket);
+		admit(ticket);
+		return finish();
 	}
 
-	synchronized List<RequestAction> completed(MonotonicTime now, RequestId id, AttemptResult result) {
-		Pending pending = this.requests.get(id);
-		if (pending == null || pending.endpoint == null || result.attempt() != pending.attempt) {
-			this.discarded++;
-			return List.of();
-		}
-		this.inFlight.merge(pending.endpoint, -1, Integer::sum);
-		pending.endpoint = null;
-		List<RequestAction> actions = new ArrayList<>();
-		if (result instanceof AttemptResult.Answered) {
-			this.delivered++;
-			actions.add(new RequestAction.Deliver(id, result.attempt()));
+	synchronized List<RequestAction> completed(MonotonicTime time, RequestId id, AttemptResult result) {
+		begin(time);
+		Ticket ticket = this.tickets.get(id);
+		Attempt attempt = (ticket != null) ? ticket.attempt(result.attempt()) : null;
+		if (attempt == null) {
+			this.counters.discarded++;
 		}
-		else if (result instanceof AttemptResult.Broken) {
-			this.unknown++;
-			actions.add(new RequestAction.ReportUnknown(id, new RequestOutcome.Unknown(id)));
+		else if (!attempt.awaited) {
+			this.counters.discarded++;
+			if (!(result instanceof AttemptResult.Broken)) {
+				end(attempt);
+			}
 		}
 		else {
-			actions.add(refuse(id, NotRunReason.REFUSED_BY_ENDPOINTS));
+			take(attempt, result);
 		}
-		remove(id);
-		actions.addAll(dispatchQueued(now));
-		return actions;
+		return finish();
 	}
 
-	synchronized List<RequestAction> cancelled(MonotonicTime now, RequestId id) {
-		Pending pending = this.requests.get(id);
-		if (pending != null && this.queue.remove(pending)) {
-			remove(id);
+	synchronized List<RequestAction> cancelled(MonotonicTime time, RequestId id) {
+		begin(time);
+		Ticket ticket = this.tickets.get(id);
+		if (ticket != null && !ticket.closed) {
+			dequeue(ticket);
+			this.finals.close(ticket);
 		}
-		return List.of();
+		return finish();
 	}
 
-	synchronized List<RequestAction> tick(MonotonicTime now) {
-		return dispatchQueued(now);
+	synchronized List<RequestAction> tick(MonotonicTime time) {
+		begin(time);
+		return finish();
 	}
 
-	synchronized List<RequestAction> drain(MonotonicTime now) {
-		List<RequestAction> actions = new ArrayList<>();
-		for (Pending pending : this.queue) {
-			actions.add(refuse(pending.request.id(), NotRunReason.SHUTTING_DOWN));
-			remove(pending.request.id());
+	synchronized List<RequestAction> drain(MonotonicTime time) {
+		begin(time);
+		if (!this.draining) {
+			this.draining = true;
+			forwardQueued();
+			this.timers.schedule(this.now + this.defaults.drainGrace().toNanos(), () -> {
+				this.drainEnded = true;
+				for (Ticket ticket : queuedTickets()) {
+					dequeue(ticket);
+					this.finals.refuse(ticket, NotRunReason.SHUTTING_DOWN, 0, this.actions);
+				}
+			});
 		}
-		this.queue.clear();
-		return actions;
+		return finish();
 	}
 
 	synchronized Optional<MonotonicTime> nextWakeUp() {
-		return this.queue.stream().map((pending) -> pending.request.deadline()).min(MonotonicTime::compareTo);
+		TimerQueue.Timer first = this.timers.first();
+		return (first != null) ? Optional.of(new MonotonicTime(first.at())) : Optional.empty();
 	}
 
-	synchronized ServiceSnapshot snapshot(MonotonicTime now) {
-		int slots = this.endpoints.values().stream().mapToInt(OwnedEndpoint::slots).sum();
-		int used = this.inFlight.values().stream().mapToInt(Integer::intValue).sum();
-		return new ServiceSnapshot(this.key, slots, Math.max(0, slots - used), used, 0, this.queue.size(),
-				Duration.ZERO, this.dispatched, 0, this.delivered, this.refused, this.unknown, 0, 0, this.discarded);
+	synchronized ServiceSnapshot snapshot(MonotonicTime time) {
+		boolean room = !this.draining && this.counters.queued(Urgency.URGENT) == 0;
+		return new ServiceSnapshot(this.key, this.ledger.usable(), room ? this.ledger.free() : 0,
+				this.counters.urgentInUse + this.counters.quietInUse, this.counters.stragglers,
+				this.counters.allQueued(), reportedWait(), this.counters.dispatched, this.counters.forwarded,
+				this.counters.delivered, this.counters.refused, this.counters.unknown, this.counters.retried,
+				this.counters.hedged, this.counters.discarded);
 	}
 
 	synchronized Map<EndpointId, Integer> inFlightByEndpoint() {
-		return Map.copyOf(this.inFlight);
-	}
-
-	private List<RequestAction> dispatchQueued(MonotonicTime now) {
-		List<RequestAction> actions = new ArrayList<>();
-		Iterator<Pending> waiting = this.queue.iterator();
-		while (waiting.hasNext()) {
-			Pending pending = waiting.next();
-			if (!now.isBefore(pending.request.deadline())) {
-				waiting.remove();
-				actions.add(refuse(pending.request.id(), NotRunReason.DEADLINE_PASSED));
-				remove(pending.request.id());
-				continue;
+		Map<EndpointId, Integer> counts = new HashMap<>();
+		this.ledger.all().forEach((endpoint) -> counts.put(endpoint.id, endpoint.inUse));
+		return counts;
+	}
+
+	private void begin(MonotonicTime time) {
+		this.now = time.nanos();
+		this.actions = new ArrayList<>();
+	}
+
+	private List<RequestAction> finish() {
+		fireTimers();
+		this.reserve.observe(this.now, this.counters.urgentInUse + this.counters.queued(Urgency.URGENT));
+		dispatchQueued();
+		return this.actions;
+	}
+
+	private void fireTimers() {
+		for (Runnable task = this.timers.pollDue(this.now); task != null; task = this.timers.pollDue(this.now)) {
+			task.run();
+		}
+	}
+
+	private void admit(Ticket ticket) {
+		if (this.draining) {
+			this.finals.refuse(ticket, NotRunReason.SHUTTING_DOWN, 0, this.actions);
+			return;
+		}
+		if (ticket.deadline - this.now <= 0) {
+			this.finals.refuse(ticket, NotRunReason.DEADLINE_PASSED, 0, this.actions);
+			return;
+		}
+		ticket.budget.requestAdmitted(ticket.policy.retryBudget());
+		ticket.deadlineTimer = this.timers.schedule(ticket.deadline, () -> deadlinePassed(ticket));
+		long wait = waitNanos(ticket);
+		if (forwards(ticket, wait)) {
+			return;
+		}
+		NotRunReason reason = (wait == Long.MAX_VALUE) ? NotRunReason.NO_ENDPOINT : AdmissionRule.refusal(ticket,
+				this.now, wait, this.queuedByService.getOrDefault(ticket.policy.service(), 0), atQuota(ticket.team));
+		if (reason == NotRunReason.NO_ENDPOINT) {
+			this.finals.refuse(ticket, reason, NO_ENDPOINT_RETRY_MILLIS, this.actions);
+		}
+		else if (reason != null) {
+			this.finals.refuse(ticket, reason, AdmissionRule.retryAfterMillis(ticket, this.now, wait, this.random),
+					this.actions);
+		}
+		else {
+			enqueue(ticket);
+		}
+	}
+
+	private void take(Attempt attempt, AttemptResult result) {
+		attempt.awaited = false;
+		Ticket ticket = attempt.ticket;
+		if (result instanceof AttemptResult.Answered answer) {
+			if (attempt.endpoint != null) {
+				this.control.answered(this.now, attempt, answer.observedNanos(), answer.serverError());
+				ticket.group.observe(answer.observedNanos());
+			}
+			end(attempt);
+			if (ticket.closed) {
+				this.counters.discarded++;
+			}
+			else {
+				dequeue(ticket);
+				this.finals.deliver(ticket, attempt.number, this.actions);
+			}
+		}
+		else if (result instanceof AttemptResult.Broken) {
+			if (attempt.endpoint != null) {
+				this.control.failed(this.now, attempt);
+			}
+			ticket.mayHaveRun = true;
+			if (attempt.peer != null) {
+				end(attempt);
+			}
+			runAgain(attempt);
+		}
+		else {
+			notRun(attempt, result);
+		}
+	}
+
+	private void notRun(Attempt attempt, AttemptResult result) {
+		Ticket ticket = attempt.ticket;
+		if (attempt.peer != null) {
+			attempt.peer.refused();
+			ticket.forwardRefused = true;
+		}
+		else if (result instanceof AttemptResult.Refused refused) {
+			this.control.refused(this.now, attempt, refused.leaving());
+		}
+		else {
+			this.control.failed(this.now, attempt);
+		}
+		end(attempt);
+		ticket.refusals++;
+		if (ticket.closed || ticket.queued || ticket.awaitsResult()) {
+			return;
+		}
+		if (RetryRule.maySendElsewhere(ticket, this.now)) {
+			requeue(ticket, attempt);
+		}
+		else {
+			this.finals.refuse(ticket, NotRunReason.REFUSED_BY_ENDPOINTS,
+					AdmissionRule.retryAfterMillis(ticket, this.now, 0, this.random), this.actions);
+		}
+	}
+
+	private void runAgain(Attempt attempt) {
+		Ticket ticket = attempt.ticket;
+		if (ticket.closed || ticket.queued || ticket.awaitsResult()) {
+			return;
+		}
+		if (RetryRule.mayRunAgain(ticket, this.now, overloaded())) {
+			ticket.budget.spend();
+			requeue(ticket, attempt);
+		}
+		else {
+			this.finals.reportUnknown(ticket, this.actions);
+		}
+	}
+
+	private void requeue(Ticket ticket, Attempt failed) {
+		if (failed.endpoint != null) {
+			ticket.avoided.add(failed.endpoint);
+		}
+		if (this.drainEnded) {
+			this.finals.refuse(ticket, NotRunReason.SHUTTING_DOWN, 0, this.actions);
+			return;
+		}
+		if (this.ledger.accepting() > 0) {
+			this.counters.retried++;
+			enqueue(ticket);
+		}
+		else if (!forwards(ticket, Long.MAX_VALUE)) {
+			this.finals.refuse(ticket, NotRunReason.NO_ENDPOINT, NO_ENDPOINT_RETRY_MILLIS, this.actions);
+		}
+	}
+
+	private void deadlinePassed(Ticket ticket) {
+		dequeue(ticket);
+		this.finals.refuse(ticket, NotRunReason.DEADLINE_PASSED, 0, this.actions);
+	}
+
+	private void dispatchQueued() {
+		for (Urgency urgency : Urgency.values()) {
+			List<TeamQueue> passedOver = new ArrayList<>(0);
+			while (this.counters.queued(urgency) > 0 && hasRoomFor(urgency)) {
+				TeamQueue team = FairShareRule.next(this.teams.values(), urgency, this.ledger.capacity(), passedOver);
+				if (team == null) {
+					break;
+				}
+				if (!dispatchFirst(team, urgency)) {
+					passedOver.add(team);
+				}
+			}
+		}
+	}
+
+	private boolean hasRoomFor(Urgency urgency) {
+		if (urgency != Urgency.URGENT && this.counters.quietInUse >= this.reserve.quietLimit(this.ledger.usable())) {
+			return false;
+		}
+		return this.ledger.free() > 0 || this.ledger.nextProbe() != null;
+	}
+
+	private boolean dispatchFirst(TeamQueue team, Urgency urgency) {
+		Ticket ticket = firstStartable(team, urgency);
+		if (ticket == null) {
+			return false;
+		}
+		long left = ticket.deadline - this.now;
+		boolean late = ticket.group.inFlight() > 0 && ticket.group.observed() && 2 * left < ticket.group.medianNanos();
+		if (left <= 0 || late) {
+			dequeue(ticket);
+			this.finals.refuse(ticket, late ? NotRunReason.DEADLINE_TOO_CLOSE : NotRunReason.DEADLINE_PASSED, 0,
+					this.actions);
+			return true;
+		}
+		Endpoint probe = mayProbe(ticket) ? this.ledger.nextProbe() : null;
+		Endpoint endpoint = (probe != null) ? probe : this.ledger.choose(this.random, ticket.avoided);
+		if (endpoint == null) {
+			endpoint = this.ledger.choose(this.random, List.of());
+		}
+		if (endpoint == null) {
+			return false;
+		}
+		dequeue(ticket);
+		dispatch(ticket, endpoint, probe != null);
+		return true;
+	}
+
+	private Ticket firstStartable(TeamQueue team, Urgency urgency) {
+		int seen = 0;
+		for (Ticket ticket : team.waiting(urgency)) {
+			if (urgency == Urgency.URGENT
+					|| !StragglerRule.holdsBack(ticket.group, this.counters.stragglers, this.ledger.usable())) {
+				return ticket;
 			}
-			Optional<OwnedEndpoint> free = this.endpoints.values().stream().filter(this::hasFreeSlot).findFirst();
-			if (free.isEmpty()) {
-				return actions;
+			if (++seen == LOOKAHEAD) {
+				return null;
 			}
-			waiting.remove();
-			pending.endpoint = free.get().id();
-			pending.attempt++;
-			this.inFlight.merge(pending.endpoint, 1, Integer::sum);
-			this.dispatched++;
-			actions.add(new RequestAction.Dispatch(pending.request.id(), pending.attempt, pending.endpoint,
-					pending.request.deadline()));
 		}
-		return actions;
+		return null;
 	}
 
-	private boolean hasFreeSlot(OwnedEndpoint endpoint) {
-		int limit = Math.min(endpoint.slots(), endpoint.connections());
-		return !endpoint.leaving() && endpoint.baselineInFlight().isPresent()
-				&& this.inFlight.getOrDefault(endpoint.id(), 0) + endpoint.baselineInFlight().getAsInt() < limit;
+	private boolean mayProbe(Ticket ticket) {
+		boolean risksLittle = ticket.repeatable || !ticket.policy.repeatable();
+		return risksLittle && ticket.deadline - this.now > PROBE_MEDIANS * ticket.group.medianNanos();
 	}
 
-	private RequestAction refuse(RequestId id, NotRunReason reason) {
-		this.refused++;
-		return new RequestAction.Refuse(id, new RequestOutcome.NotRun(reason, 0));
+	private void dispatch(Ticket ticket, Endpoint endpoint, boolean probe) {
+		this.ledger.take(endpoint);
+		if (probe) {
+			this.ledger.change(endpoint, endpoint.health::probeStarted);
+		}
+		Attempt attempt = start(ticket, endpoint, null, probe);
+		ticket.team.slotTaken();
+		ticket.group.started();
+		this.counters.slotTaken(ticket, 1);
+		this.counters.dispatched++;
+		attempt.overdueTimer = this.timers.schedule(this.now + StragglerRule.overdueAfterNanos(ticket.group),
+				() -> becameOverdue(attempt));
+		if (HedgeRule.appliesTo(ticket)) {
+			attempt.hedgeTimer = this.timers.schedule(this.now + HedgeRule.delayNanos(ticket.group),
+					() -> hedge(attempt));
+		}
+		this.actions.add(new RequestAction.Dispatch(ticket.id, attempt.number, endpoint.id, ticket.deadlineTime()));
 	}
 
-	private void remove(RequestId id) {
-		this.requests.remove(id);
-		this.forget.accept(id);
+	private boolean forwards(Ticket ticket, long wait) {
+		if (wait == 0) {
+			return false;
+		}
+		PeerView peer = ForwardRule.choose(ticket, this.now, wait, this.peers, this.defaults.peerReportAge().toNanos(),
+				this.random);
+		if (peer == null) {
+			return false;
+		}
+		peer.sent();
+		Attempt attempt = start(ticket, null, peer, false);
+		this.counters.forwarded++;
+		this.actions.add(new RequestAction.Forward(ticket.id, attempt.number, peer.id, ticket.deadlineTime()));
+		return true;
 	}
 
-	private static int urgency(Pending pending) {
-		return pending.request.urgency().ordinal();
+	private Attempt start(Ticket ticket, Endpoint endpoint, PeerView peer, boolean probe) {
+		Attempt attempt = new Attempt(ticket, ++ticket.attempts, endpoint, peer, this.now, probe);
+		ticket.open.add(attempt);
+		attempt.holdTimer = this.timers.schedule(ticket.deadline + this.defaults.slotHoldMargin().toNanos(),
+				() -> holdEnded(attempt));
+		return attempt;
 	}
 
-	private static final class Pending {
+	private void end(Attempt attempt) {
+		Ticket ticket = attempt.ticket;
+		this.timers.cancel(attempt.holdTimer);
+		this.timers.cancel(attempt.overdueTimer);
+		this.timers.cancel(attempt.hedgeTimer);
+		ticket.open.remove(attempt);
+		if (attempt.endpoint != null) {
+			this.ledger.release(attempt.endpoint);
+			ticket.team.slotReleased();
+			ticket.group.ended(attempt.overdue);
+			this.counters.slotTaken(ticket, -1);
+			this.counters.stragglers -= attempt.overdue ? 1 : 0;
+		}
+		this.finals.forgetIfDone(ticket);
+	}
 
-		private final IncomingRequest request;
+	private void holdEnded(Attempt attempt) {
+		if (attempt.awaited) {
+			attempt.awaited = false;
+			attempt.ticket.mayHaveRun = true;
+			if (attempt.endpoint != null) {
+				this.control.failed(this.now, attempt);
+			}
+		}
+		end(attempt);
+	}
 
-		private EndpointId endpoint;
+	private void becameOverdue(Attempt attempt) {
+		this.control.overdue(this.now, attempt);
+		attempt.overdue = true;
+		attempt.ticket.group.becameOverdue();
+		this.counters.stragglers++;
+	}
 
-		private int attempt;
+	private void hedge(Attempt attempt) {
+		Ticket ticket = attempt.ticket;
+		if (ticket.closed || !attempt.awaited
+				|| !HedgeRule.mayHedge(ticket, this.now, overloaded(), this.ledger.free(), this.ledger.usable())
+				|| atQuota(ticket.team)) {
+			return;
+		}
+		Endpoint endpoint = this.ledger.choose(this.random, List.of(attempt.endpoint));
+		if (endpoint != null) {
+			ticket.budget.spend();
+			this.counters.hedged++;
+			dispatch(ticket, endpoint, false);
+		}
+	}
+
+	private void enqueue(Ticket ticket) {
+		ticket.queued = true;
+		ticket.team.add(ticket);
+		this.counters.queued(ticket.urgency, 1);
+		this.queuedByService.merge(ticket.policy.service(), 1, Integer::sum);
+	}
+
+	private void dequeue(Ticket ticket) {
+		if (ticket.queued) {
+			ticket.queued = false;
+			ticket.team.remove(ticket);
+			this.counters.queued(ticket.urgency, -1);
+			this.queuedByService.merge(ticket.policy.service(), -1, Integer::sum);
+		}
+	}
 
-		Pending(IncomingRequest request) {
-			this.request = request;
+	private void forwardQueued() {
+		for (TeamQueue team : this.teams.values()) {
+			for (Ticket ticket : List.copyOf(team.waiting(Urgency.URGENT))) {
+				if (!forwards(ticket, this.draining ? Long.MAX_VALUE : waitNanos(ticket))) {
+					break;
+				}
+				dequeue(ticket);
+			}
+		}
+	}
+
+	private void moveQueued(NotRunReason reason) {
+		for (Ticket ticket : queuedTickets()) {
+			dequeue(ticket);
+			if (!forwards(ticket, Long.MAX_VALUE)) {
+				this.finals.refuse(ticket, reason, NO_ENDPOINT_RETRY_MILLIS, this.actions);
+			}
 		}
+	}
+
+	private List<Ticket> queuedTickets() {
+		return this.tickets.values().stream().filter((ticket) -> ticket.queued).sorted(Ticket.BY_DEADLINE).toList();
+	}
+
+	private boolean overloaded() {
+		return this.counters.queued(Urgency.URGENT) > 0 || this.ledger.free() == 0;
+	}
+
+	private boolean atQuota(TeamQueue team) {
+		return team.inUse() >= team.slotLimit(this.ledger.capacity());
+	}
+
+	/**
+	 * Estimates the wait of a request that is not queued yet.
+	 * @param ticket the request
+	 * @return nanoseconds; {@link Long#MAX_VALUE} if no endpoint takes work
+	 */
+	private long waitNanos(Ticket ticket) {
+		if (this.ledger.accepting() == 0) {
+			return Long.MAX_VALUE;
+		}
+		boolean atQuota = atQuota(ticket.team);
+		int urgentQueued = this.counters.queued(Urgency.URGENT);
+		int limit = ticket.isUrgent() ? Integer.MAX_VALUE : this.reserve.quietLimit(this.ledger.usable());
+		int queued = ticket.isUrgent() ? urgentQueued : this.counters.allQueued();
+		boolean room = this.ledger.free() > 0 && (ticket.isUrgent() || this.counters.quietInUse < limit);
+		if ((room && queued == 0 && !atQuota) || this.ledger.nextProbe() != null) {
+			return 0;
+		}
+		if (this.ledger.usable() == 0 && this.counters.urgentInUse + this.counters.quietInUse == 0
+				&& !this.control.anyPaused()) {
+			return Long.MAX_VALUE;
+		}
+		double rate = this.runTimes.quietReleaseRate();
+		if (ticket.isUrgent()) {
+			rate += this.runTimes.urgentReleaseRate();
+		}
+		if (atQuota) {
+			int inUse = this.counters.urgentInUse + this.counters.quietInUse;
+			rate = rate * ticket.team.inUse() / Math.max(1, inUse);
+		}
+		return WaitEstimator.waitNanos(WaitEstimator.before(ticket, this.teams.values()), rate,
+				ticket.group.meanNanos());
+	}
+
+	private Duration reportedWait() {
+		int queued = this.counters.queued(Urgency.URGENT);
+		if (this.ledger.usable() == 0 || this.draining) {
+			return UNAVAILABLE_WAIT;
+		}
+		if (queued == 0 && this.ledger.free() > 0) {
+			return Duration.ZERO;
+		}
+		double rate = this.runTimes.urgentReleaseRate() + this.runTimes.quietReleaseRate();
+		return Duration.ofNanos(WaitEstimator.waitNanos(queued, rate, UNAVAILABLE_WAIT.toNanos()));
+	}
 
+	private TeamQueue team(ServicePolicy policy) {
+		return this.teams.computeIfAbsent(policy.service().team(), (id) -> {
+			TeamQueue team = new TeamQueue(id);
+			team.limit(policy.weight(), policy.quota());
+			return team;
+		});
 	}
 
 }
