--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/concurrent/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Executors of the entry daemon.
+ */
+package io.lentilstream.entry.concurrent;
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
@@ -0,0 +1,249 @@
+package io.lentilstream.entry.peers;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+
+import com.google.common.flogger.FluentLogger;
+
+import io.lentilstream.membership.LocalState;
+import io.lentilstream.membership.MembershipAction;
+import io.lentilstream.membership.PeerState;
+import io.lentilstream.membership.PeerView;
+import io.lentilstream.membership.SettingsDocument;
+import io.lentilstream.membership.SettingsReplica;
+import io.lentilstream.model.MonotonicClock;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.StoreClient;
+import io.lentilstream.wire.LocalPeer;
+import io.lentilstream.wire.PeerFrame;
+import io.lentilstream.wire.PeerListener;
+import io.lentilstream.wire.PeerMessage;
+import io.lentilstream.wire.PeerTransport;
+
+/**
+ * Carries out the actions of the peer view and the settings replica.
+ */
+public final class PeerDriver implements PeerListener, AutoCloseable {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final String PREFIX = "peers: ";
+
+	private static final long TICK_MILLIS = 50;
+
+	private final PeerView view;
+
+	private final SettingsReplica replica;
+
+	private final StoreClient store;
+
+	private final MonotonicClock clock;
+
+	private final Supplier<LocalState> local;
+
+	private final Listener listener;
+
+	private PeerTransport transport;
+
+	private ScheduledFuture<?> ticks;
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a driver.
+	 * @param view the view of the peers
+	 * @param replica the settings in force
+	 * @param store lists and watches settings
+	 * @param clock tells the time
+	 * @param local what heartbeats report
+	 * @param listener is told about settings and requests of peers
+	 */
+	public PeerDriver(PeerView view, SettingsReplica replica, StoreClient store, MonotonicClock clock,
+			Supplier<LocalState> local, Listener listener) {
+		this.view = view;
+		this.replica = replica;
+		this.store = store;
+		this.clock = clock;
+		this.local = local;
+		this.listener = listener;
+	}
+
+	/**
+	 * Starts the exchange with peers.
+	 * @param peerTransport carries the messages
+	 * @param timers schedules ticks
+	 */
+	public void start(PeerTransport peerTransport, ScheduledExecutorService timers) {
+		this.transport = peerTransport;
+		this.ticks = timers.scheduleAtFixedRate(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+	}
+
+	/**
+	 * Announces to all peers that this process shuts down.
+	 */
+	public void leave() {
+		perform(this.view.leave());
+	}
+
+	/**
+	 * Carries out actions in order.
+	 * @param actions the actions of the view or the replica
+	 */
+	public void perform(List<MembershipAction> actions) {
+		actions.forEach(this::perform);
+	}
+
+	private void tick() {
+		if (this.closed) {
+			return;
+		}
+		try {
+			MonotonicTime now = this.clock.now();
+			perform(this.view.tick(now, this.local.get()));
+			perform(this.replica.tick(now));
+		}
+		catch (RuntimeException ex) {
+			this.listener.brokenInvariant(ex);
+		}
+	}
+
+	private void perform(MembershipAction action) {
+		if (this.closed) {
+			return;
+		}
+		if (action instanceof MembershipAction.Connect connect) {
+			this.transport.connect(connect.vm(), parse(connect.address()));
+		}
+		else if (action instanceof MembershipAction.Disconnect disconnect) {
+			this.transport.disconnect(disconnect.vm());
+		}
+		else if (action instanceof MembershipAction.Send send) {
+			this.transport.send(send.to(), send.message());
+		}
+		else if (action instanceof MembershipAction.ListStore list) {
+			this.store.list(list.prefix())
+				.thenAccept((outcome) -> perform(this.replica.listed(this.clock.now(), list, outcome)));
+		}
+		else if (action instanceof MembershipAction.WatchStore watch) {
+			this.store.watch(watch.prefix(), watch.afterRevision(), watch.maxWait())
+				.thenAccept((outcome) -> perform(this.replica.watched(this.clock.now(), watch, outcome)));
+		}
+		else {
+			tell(action);
+		}
+	}
+
+	private void tell(MembershipAction action) {
+		if (action instanceof MembershipAction.PeerChanged changed) {
+			logger.atInfo().log(PREFIX + "%s is %s, was %s.", changed.vm(), changed.to(), changed.from());
+			this.listener.peerChanged(changed.vm(), changed.to());
+		}
+		else if (action instanceof MembershipAction.PeerRestarted restarted) {
+			logger.atInfo().log(PREFIX + "%s runs a new process.", restarted.vm());
+		}
+		else if (action instanceof MembershipAction.DocumentApplied applied) {
+			SettingsDocument document = applied.document();
+			logger.atInfo().log(PREFIX + "%s is in force at revision %s.", document.key(), document.revision());
+			this.listener.applied(document);
+		}
+		else if (action instanceof MembershipAction.DocumentRefused refused) {
+			logger.atSevere().log(PREFIX + "cannot read %s from %s.", refused.key(), refused.origin());
+		}
+		else if (action instanceof MembershipAction.SettingsReady ready) {
+			logger.atInfo().log(PREFIX + "settings are complete, from %s.", ready.fromStore() ? "the store" : "peers");
+		}
+	}
+
+	@Override
+	public void linkUp(LocalPeer peer) {
+		perform(this.view.linkUp(this.clock.now(), peer));
+	}
+
+	@Override
+	public void linkDown(LocalPeer peer, String reason) {
+		logger.atInfo().log(PREFIX + "link to %s ended: %s.", peer.vm(), reason);
+		perform(this.view.linkDown(this.clock.now(), peer.vm()));
+		this.listener.linkDown(peer.vm());
+	}
+
+	@Override
+	public void received(VmId from, PeerFrame frame) {
+		MonotonicTime now = this.clock.now();
+		PeerMessage message = frame.message();
+		if (message instanceof PeerMessage.Heartbeat heartbeat) {
+			perform(this.view.heartbeat(now, from, heartbeat));
+			perform(this.replica.heartbeat(now, from, heartbeat));
+		}
+		else if (message instanceof PeerMessage.Document document) {
+			perform(this.replica.received(now, from, document));
+		}
+		else if (message instanceof PeerMessage.FetchDocuments fetch) {
+			perform(this.replica.received(now, from, fetch));
+		}
+		else if (message instanceof PeerMessage.Goodbye goodbye) {
+			perform(this.view.goodbye(now, from, goodbye));
+		}
+		else {
+			this.listener.received(from, frame);
+		}
+	}
+
+	private static InetSocketAddress parse(String address) {
+		int colon = address.lastIndexOf(':');
+		return new InetSocketAddress(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		if (this.ticks != null) {
+			this.ticks.cancel(false);
+		}
+	}
+
+	/**
+	 * Is told what concerns other parts of the daemon.
+	 */
+	public interface Listener {
+
+		/**
+		 * A settings document is in force.
+		 * @param document the document
+		 */
+		void applied(SettingsDocument document);
+
+		/**
+		 * A peer changed its state.
+		 * @param vm the peer
+		 * @param state the new state
+		 */
+		void peerChanged(VmId vm, PeerState state);
+
+		/**
+		 * The link to a peer ended; replies from it will not arrive.
+		 * @param vm the peer
+		 */
+		void linkDown(VmId vm);
+
+		/**
+		 * A message for another part arrived.
+		 * @param from the sender
+		 * @param frame the message
+		 */
+		void received(VmId from, PeerFrame frame);
+
+		/**
+		 * A broken invariant was found.
+		 * @param cause the exception
+		 */
+		void brokenInvariant(Throwable cause);
+
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/peers/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Carries out the decisions about peers and settings in force.
+ */
+package io.lentilstream.entry.peers;
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/records/WorkKind.java
@@ -0,0 +1,13 @@
+package io.lentilstream.entry.records;
+
+import io.lentilstream.requests.ServiceKey;
+
+/**
+ * Is a kind of deferrable requests as its driver needs it.
+ *
+ * @param service the service whose endpoints run the requests
+ * @param timeoutMillis milliseconds that an endpoint has for one attempt
+ * @param keepMillis milliseconds that a record is kept after it was accepted
+ */
+public record WorkKind(ServiceKey service, long timeoutMillis, long keepMillis) {
+}
--- a/entry/src/main/java/io/lentilstream/entry/requests/RequestDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/requests/RequestDriver.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 
 import io.lentilstream.model.MonotonicClock;
 import io.lentilstream.model.MonotonicTime;
@@ -37,6 +38,8 @@
 
 	private final Map<RequestId, PendingRequest> pending = new ConcurrentHashMap<>();
 
+	private final Map<RequestId, SlotHandler> slotRequests = new ConcurrentHashMap<>();
+
 	/**
 	 * Creates a driver.
 	 * @param scheduler decides
@@ -68,6 +71,19 @@
 		return entry.outcome();
 	}
 
+	/**
+	 * Queues a deferrable request for a free slot of an endpoint of this entry VM. The
+	 * caller sends the attempt itself, once it is recorded.
+	 * @param request what decisions look at
+	 * @param handler is told about the slot
+	 */
+	public void requestSlot(IncomingRequest request, SlotHandler handler) {
+		if (this.slotRequests.putIfAbsent(request.id(), handler) != null) {
+			throw new IllegalStateException("a slot is requested twice under the same id");
+		}
+		perform(this.scheduler.offer(this.clock.now(), request));
+	}
+
 	/**
 	 * Gives up a request whose caller went away.
 	 * @param id the request
@@ -104,6 +120,11 @@
 	}
 
 	private void perform(RequestAction action) {
+		SlotHandler handler = this.slotRequests.get(action.request());
+		if (handler != null) {
+			performForSlot(handler, action);
+			return;
+		}
 		PendingRequest entry = this.pending.get(action.request());
 		if (action instanceof RequestAction.Dispatch dispatch) {
 			dispatch(entry, dispatch);
@@ -122,6 +143,20 @@
 		}
 	}
 
+	private void performForSlot(SlotHandler handler, RequestAction action) {
+		if (action instanceof RequestAction.Dispatch dispatch) {
+			handler.granted(dispatch.endpoint(), new GrantedSlot(dispatch.request(), dispatch.attempt()));
+			return;
+		}
+		this.slotRequests.remove(action.request());
+		if (action instanceof RequestAction.Refuse refuse) {
+			handler.refused(refuse.outcome().reason(), refuse.outcome().retryAfterMillis());
+		}
+		else if (!(action instanceof RequestAction.ReportUnknown)) {
+			throw new IllegalStateException("a request for a slot got " + action);
+		}
+	}
+
 	private void dispatch(PendingRequest entry, RequestAction.Dispatch dispatch) {
 		if (entry == null) {
 			completed(dispatch.request(), new AttemptResult.NotSent(dispatch.attempt()));
@@ -138,12 +173,14 @@
 	}
 
 	private void answered(PendingRequest entry, int attempt, MonotonicTime start, EndpointOutcome outcome) {
-		completed(entry.request().id(), toResult(entry, attempt, start, outcome));
+		if (outcome instanceof EndpointOutcome.Answered answer) {
+			entry.keep(attempt, new RequestOutcome.Answered(answer.status(), answer.contentType(), answer.body()));
+		}
+		completed(entry.request().id(), toResult(attempt, start, outcome));
 	}
 
-	private AttemptResult toResult(PendingRequest entry, int attempt, MonotonicTime start, EndpointOutcome outcome) {
+	private AttemptResult toResult(int attempt, MonotonicTime start, EndpointOutcome outcome) {
 		if (outcome instanceof EndpointOutcome.Answered answer) {
-			entry.keep(attempt, new RequestOutcome.Answered(answer.status(), answer.contentType(), answer.body()));
 			return new AttemptResult.Answered(attempt, answer.status() >= SERVER_ERROR, elapsed(start));
 		}
 		if (outcome instanceof EndpointOutcome.Refused refused) {
@@ -225,4 +262,41 @@
 		return new RequestId(id.value() + "." + attempt);
 	}
 
+	private final class GrantedSlot implements Slot {
+
+		private final RequestId id;
+
+		private final int attempt;
+
+		private final AtomicBoolean freed = new AtomicBoolean();
+
+		private final MonotonicTime start = RequestDriver.this.clock.now();
+
+		GrantedSlot(RequestId id, int attempt) {
+			this.id = id;
+			this.attempt = attempt;
+		}
+
+		@Override
+		public void completed(EndpointOutcome outcome) {
+			release(toResult(this.attempt, this.start, outcome));
+		}
+
+		@Override
+		public void unused() {
+			release(new AttemptResult.NotSent(this.attempt));
+		}
+
+		// The record decides about another attempt, so the scheduler gives the request up.
+		private void release(AttemptResult result) {
+			if (!this.freed.compareAndSet(false, true)) {
+				throw new IllegalStateException("a slot is freed twice");
+			}
+			RequestDriver.this.slotRequests.remove(this.id);
+			perform(RequestDriver.this.scheduler.cancelled(RequestDriver.this.clock.now(), this.id));
+			RequestDriver.this.completed(this.id, result);
+		}
+
+	}
+
 }
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/requests/Slot.java
@@ -0,0 +1,21 @@
+package io.lentilstream.entry.requests;
+
+import io.lentilstream.platform.EndpointOutcome;
+
+/**
+ * Is a slot of an endpoint that is taken for one attempt.
+ */
+public interface Slot {
+
+	/**
+	 * Frees the slot after the attempt.
+	 * @param outcome what became of the attempt
+	 */
+	void completed(EndpointOutcome outcome);
+
+	/**
+	 * Frees the slot without an attempt.
+	 */
+	void unused();
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/shards/LogDriver.java
@@ -0,0 +1,270 @@
+package io.lentilstream.entry.shards;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Supplier;
+
+import io.lentilstream.entry.timer.WakeUpTimer;
+import io.lentilstream.model.MonotonicClock;
+import io.lentilstream.platform.StoreClient;
+import io.lentilstream.shards.log.LogAction;
+import io.lentilstream.shards.log.ShardLog;
+
+/**
+ * Carries out the actions of one shard log against the store. All methods run on the
+ * serial executor of the shard.
+ */
+public final class LogDriver implements AutoCloseable {
+
+	/**
+	 * Entries of one step are split into appends of this many bytes, which leaves room for
+	 * the encoding within the largest commit.
+	 */
+	public static final int MAX_APPEND_BYTES = 200_000;
+
+	private static final Runnable NO_ACTION = () -> {
+	};
+
+	private final ShardLog log;
+
+	private final StoreClient store;
+
+	private final LogListener listener;
+
+	private final MonotonicClock clock;
+
+	private final Executor serial;
+
+	private final WakeUpTimer timer;
+
+	private final Map<Long, Append> inFlight = new HashMap<>();
+
+	/**
+	 * Appends that the log refused because its queue was full, in order. They describe
+	 * what already happened, so they wait instead of being dropped. Their number is
+	 * bounded by the tasks and requests in progress, since nothing new is accepted while
+	 * any waits.
+	 */
+	private final Deque<Append> waiting = new ArrayDeque<>();
+
+	private final Deque<PendingSnapshot> snapshots = new ArrayDeque<>();
+
+	private long lastToken;
+
+	private boolean closed;
+
+	/**
+	 * Creates a driver.
+	 * @param log decides
+	 * @param store carries out store calls
+	 * @param listener is told about the log
+	 * @param clock tells the time
+	 * @param serial the serial executor of the shard
+	 * @param timers schedules the next step
+	 */
+	public LogDriver(ShardLog log, StoreClient store, LogListener listener, MonotonicClock clock, Executor serial,
+			ScheduledExecutorService timers) {
+		this.log = log;
+		this.store = store;
+		this.listener = listener;
+		this.clock = clock;
+		this.serial = serial;
+		this.timer = new WakeUpTimer(timers, clock, () -> serial.execute(this::tick));
+	}
+
+	/**
+	 * Does what is due; the first call starts the recovery.
+	 */
+	public void tick() {
+		perform(() -> this.log.tick(this.clock.now()));
+	}
+
+	/**
+	 * Makes entries durable.
+	 * @param entries the entries of one step
+	 * @param committed runs once they are durable, on the serial executor
+	 */
+	public void append(List<byte[]> entries, Runnable committed) {
+		int from = 0;
+		int bytes = 0;
+		for (int i = 0; i < entries.size(); i++) {
+			int size = entries.get(i).length;
+			if (i > from && bytes + size > MAX_APPEND_BYTES) {
+				appendPart(entries.subList(from, i), NO_ACTION);
+				from = i;
+				bytes = 0;
+			}
+			bytes += size;
+		}
+		appendPart(entries.subList(from, entries.size()), committed);
+	}
+
+	private void appendPart(List<byte[]> entries, Runnable committed) {
+		this.lastToken++;
+		Append append = new Append(this.lastToken, List.copyOf(entries), committed, null);
+		if (!this.waiting.isEmpty()) {
+			this.waiting.add(append);
+			return;
+		}
+		offer(append);
+	}
+
+	/**
+	 * Makes entries durable unless the queue of the log is full.
+	 * @param entries the entries of one step
+	 * @param committed runs once they are durable, on the serial executor
+	 * @param refused runs if they were not and will not be written
+	 */
+	public void tryAppend(List<byte[]> entries, Runnable committed, Runnable refused) {
+		if (!acceptsNewWork()) {
+			refused.run();
+			return;
+		}
+		this.lastToken++;
+		offer(new Append(this.lastToken, entries, committed, refused));
+	}
+
+	/**
+	 * Tells whether new work may be accepted: the log is open and nothing waits for it.
+	 * @return {@code true} if new work may be accepted
+	 */
+	public boolean acceptsNewWork() {
+		return !this.closed && this.log.isOpen() && this.waiting.isEmpty();
+	}
+
+	/**
+	 * Tells whether all appended entries are durable.
+	 * @return {@code true} if nothing waits
+	 */
+	public boolean isIdle() {
+		return this.log.isIdle() && this.waiting.isEmpty() && this.inFlight.isEmpty();
+	}
+
+	private void offer(Append append) {
+		this.inFlight.put(append.token(), append);
+		perform(() -> this.log.append(this.clock.now(), append.entries(), append.token()));
+	}
+
+	private void perform(Supplier<List<LogAction>> input) {
+		if (this.closed) {
+			return;
+		}
+		for (LogAction action : input.get()) {
+			perform(action);
+		}
+		this.timer.wakeAt(this.log.nextWakeUp());
+	}
+
+	private void perform(LogAction action) {
+		if (action instanceof LogAction.Write write) {
+			this.store.write(write.write())
+				.thenAccept((outcome) -> later(() -> this.log.completed(this.clock.now(), write.id(), outcome)));
+		}
+		else if (action instanceof LogAction.Read read) {
+			this.store.read(read.key())
+				.thenAccept((outcome) -> later(() -> this.log.completed(this.clock.now(), read.id(), outcome)));
+		}
+		else if (action instanceof LogAction.ListKeys list) {
+			this.store.list(list.prefix())
+				.thenAccept((outcome) -> later(() -> this.log.completed(this.clock.now(), list.id(), outcome)));
+		}
+		else if (action instanceof LogAction.Committed committed) {
+			committed.tokens().forEach(this::committed);
+			offerWaiting();
+		}
+		else if (action instanceof LogAction.Refused refused) {
+			refused(refused);
+		}
+		else if (action instanceof LogAction.SnapshotNeeded needed) {
+			this.snapshots.add(new PendingSnapshot(needed.sequence(), this.lastToken, this.listener.snapshot()));
+			writeSnapshots();
+		}
+		else if (action instanceof LogAction.Recovered recovered) {
+			this.listener.recovered(recovered.snapshot(), recovered.entries());
+		}
+		else if (action instanceof LogAction.Fenced) {
+			close();
+			this.listener.fenced();
+		}
+		else if (action instanceof LogAction.Failed failed) {
+			close();
+			this.listener.failed(failed.reason());
+		}
+	}
+
+	private void later(Supplier<List<LogAction>> input) {
+		this.serial.execute(() -> perform(input));
+	}
+
+	private void committed(long token) {
+		Append append = this.inFlight.remove(token);
+		append.committed().run();
+		writeSnapshots();
+	}
+
+	private void refused(LogAction.Refused refused) {
+		Append append = this.inFlight.remove(refused.token());
+		if (append.refused() != null) {
+			append.refused().run();
+			return;
+		}
+		if (refused.reason() == LogAction.RefusalReason.TOO_LARGE) {
+			throw new IllegalStateException("a step is larger than a commit");
+		}
+		this.waiting.add(append);
+	}
+
+	private void offerWaiting() {
+		int rounds = this.waiting.size();
+		for (int i = 0; i < rounds && !this.closed; i++) {
+			Append append = this.waiting.poll();
+			int before = this.waiting.size();
+			offer(append);
+			if (this.waiting.size() > before) {
+				// Refused again: put it back in front, so that the order stays.
+				this.waiting.addFirst(this.waiting.removeLast());
+				return;
+			}
+		}
+	}
+
+	// A snapshot holds the effect of entries that are still queued, so it waits for them.
+	// Entries between its sequence number and these are replayed on top, which the
+	// recovery of every state machine tolerates.
+	private void writeSnapshots() {
+		while (!this.snapshots.isEmpty() && isDurable(this.snapshots.peek().lastToken())) {
+			PendingSnapshot snapshot = this.snapshots.poll();
+			perform(() -> this.log.snapshot(this.clock.now(), snapshot.sequence(), snapshot.bytes()));
+		}
+	}
+
+	private boolean isDurable(long token) {
+		if (!this.waiting.isEmpty() && this.waiting.peek().token() <= token) {
+			return false;
+		}
+		for (long inFlightToken : this.inFlight.keySet()) {
+			if (inFlightToken <= token) {
+				return false;
+			}
+		}
+		return true;
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.timer.close();
+	}
+
+	private record Append(long token, List<byte[]> entries, Runnable committed, Runnable refused) {
+	}
+
+	private record PendingSnapshot(long sequence, long lastToken, byte[] bytes) {
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/shards/OwnershipDriver.java
@@ -0,0 +1,207 @@
+package io.lentilstream.entry.shards;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+
+import com.google.common.flogger.FluentLogger;
+
+import io.lentilstream.entry.timer.WakeUpTimer;
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.MonotonicClock;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.StoreClient;
+import io.lentilstream.shards.ownership.OwnershipAction;
+import io.lentilstream.shards.ownership.ShardOwnership;
+
+/**
+ * Carries out the actions of shard ownership against the store.
+ */
+public final class OwnershipDriver implements AutoCloseable {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final String PREFIX = "ownership: ";
+
+	private final ShardOwnership ownership;
+
+	private final StoreClient store;
+
+	private final OwnershipListener listener;
+
+	private final MonotonicClock clock;
+
+	private final Executor serial;
+
+	private final WakeUpTimer timer;
+
+	private final CompletableFuture<Void> shutdown = new CompletableFuture<>();
+
+	private Optional<MonotonicTime> lastDeadline = Optional.empty();
+
+	private volatile boolean closed;
+
+	/**
+	 * Creates a driver.
+	 * @param ownership decides
+	 * @param store carries out store calls
+	 * @param listener is told about gained and lost shards
+	 * @param clock tells the time
+	 * @param serial runs all steps in order
+	 * @param timers schedules the next step
+	 */
+	public OwnershipDriver(ShardOwnership ownership, StoreClient store, OwnershipListener listener,
+			MonotonicClock clock, Executor serial, ScheduledExecutorService timers) {
+		this.ownership = ownership;
+		this.store = store;
+		this.listener = listener;
+		this.clock = clock;
+		this.serial = serial;
+		this.timer = new WakeUpTimer(timers, clock, this::tick);
+	}
+
+	/**
+	 * Does what is due.
+	 */
+	public void tick() {
+		step(() -> this.ownership.tick(this.clock.now()));
+	}
+
+	/**
+	 * Takes the entry VMs that the platform lists as leaving.
+	 * @param vms the VMs
+	 */
+	public void listedAsLeaving(Set<VmId> vms) {
+		this.ownership.listedAsLeaving(vms);
+	}
+
+	/**
+	 * Asks for fresh lists after a peer went away or released a shard.
+	 */
+	public void refreshSoon() {
+		step(() -> this.ownership.refreshSoon(this.clock.now()));
+	}
+
+	/**
+	 * Releases all shards and ends the lease.
+	 * @return completes when the peers can take the shards
+	 */
+	public CompletableFuture<Void> shutdown() {
+		step(() -> this.ownership.shutdown(this.clock.now()));
+		return this.shutdown;
+	}
+
+	/**
+	 * Returns the shards that this entry VM owns.
+	 * @return the epochs by shard
+	 */
+	public Map<ShardId, Epoch> ownedShards() {
+		return this.ownership.ownedShards();
+	}
+
+	/**
+	 * Returns the owner of a shard as last read from the store.
+	 * @param shard the shard
+	 * @return the owner, if one is known and it did not release the shard
+	 */
+	public Optional<VmId> ownerOf(ShardId shard) {
+		return this.ownership.lastKnownRecord(shard).filter((record) -> !record.released()).map((r) -> r.owner());
+	}
+
+	/**
+	 * Returns the time after which nothing may be committed.
+	 * @return the commit deadline; empty without a lease
+	 */
+	public Optional<MonotonicTime> commitDeadline() {
+		return this.ownership.commitDeadline();
+	}
+
+	private void step(java.util.function.Supplier<List<OwnershipAction>> input) {
+		if (this.closed) {
+			return;
+		}
+		this.serial.execute(() -> {
+			if (this.closed) {
+				return;
+			}
+			input.get().forEach(this::perform);
+			Optional<MonotonicTime> deadline = this.ownership.commitDeadline();
+			if (!deadline.equals(this.lastDeadline)) {
+				this.lastDeadline = deadline;
+				this.listener.deadlineChanged();
+			}
+			this.timer.wakeAt(this.ownership.nextWakeUp());
+		});
+	}
+
+	private void perform(OwnershipAction action) {
+		if (action instanceof OwnershipAction.GrantLease grant) {
+			this.store.grantLease(grant.length())
+				.thenAccept((outcome) -> step(() -> this.ownership.completed(this.clock.now(), grant.id(), outcome)));
+		}
+		else if (action instanceof OwnershipAction.RenewLease renew) {
+			this.store.renewLease(renew.lease())
+				.thenAccept((outcome) -> step(() -> this.ownership.completed(this.clock.now(), renew.id(), outcome)));
+		}
+		else if (action instanceof OwnershipAction.RevokeLease revoke) {
+			this.store.revokeLease(revoke.lease())
+				.thenAccept((outcome) -> step(() -> this.ownership.completed(this.clock.now(), revoke.id(), outcome)));
+		}
+		else if (action instanceof OwnershipAction.WriteRecord write) {
+			this.store.write(write.write())
+				.thenAccept((outcome) -> step(() -> this.ownership.completed(this.clock.now(), write.id(), outcome)));
+		}
+		else if (action instanceof OwnershipAction.ReadRecord read) {
+			this.store.read(read.key())
+				.thenAccept((outcome) -> step(() -> this.ownership.completed(this.clock.now(), read.id(), outcome)));
+		}
+		else if (action instanceof OwnershipAction.ListRecords list) {
+			this.store.list(list.prefix())
+				.thenAccept((outcome) -> step(() -> this.ownership.completed(this.clock.now(), list.id(), outcome)));
+		}
+		else {
+			tell(action);
+		}
+	}
+
+	private void tell(OwnershipAction action) {
+		if (action instanceof OwnershipAction.ShardGained gained) {
+			logger.atInfo().log(PREFIX + "gained shard %s at epoch %s.", gained.shard(), gained.epoch());
+			this.listener.gained(gained.shard(), gained.epoch(), gained.releasedCleanly(), gained.previousOwner());
+		}
+		else if (action instanceof OwnershipAction.PrepareRelease release) {
+			this.listener.prepareRelease(release.shard(), (nothingHeldBack) -> step(
+					() -> this.ownership.readyToRelease(this.clock.now(), release.shard(), nothingHeldBack)));
+		}
+		else if (action instanceof OwnershipAction.ShardLost lost) {
+			logger.atInfo()
+				.log(PREFIX + "lost shard %s of epoch %s: %s.", lost.shard(), lost.epoch(), lost.reason());
+			this.listener.lost(lost.shard(), lost.epoch());
+		}
+		else if (action instanceof OwnershipAction.ShardSuspended suspended) {
+			logger.atWarning().log(PREFIX + "commit deadline of shard %s passed.", suspended.shard());
+		}
+		else if (action instanceof OwnershipAction.ShardResumed resumed) {
+			logger.atInfo().log(PREFIX + "shard %s goes on at epoch %s.", resumed.shard(), resumed.epoch());
+		}
+		else if (action instanceof OwnershipAction.RecordRefused refused) {
+			logger.atSevere().log(PREFIX + "cannot read record %s: %s.", refused.key(), refused.reason());
+		}
+		else if (action instanceof OwnershipAction.ShutdownComplete) {
+			this.shutdown.complete(null);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.closed = true;
+		this.timer.close();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/shards/OwnershipListener.java
@@ -0,0 +1,43 @@
+package io.lentilstream.entry.shards;
+
+import java.util.Optional;
+
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.model.VmId;
+
+/**
+ * Is told which shards this entry VM owns.
+ */
+public interface OwnershipListener {
+
+	/**
+	 * This entry VM owns a shard from now on.
+	 * @param shard the shard
+	 * @param epoch the epoch of this owner
+	 * @param releasedCleanly whether nothing of an earlier owner must be held back
+	 * @param previousOwner the previous owner, if there was one
+	 */
+	void gained(ShardId shard, Epoch epoch, boolean releasedCleanly, Optional<VmId> previousOwner);
+
+	/**
+	 * A shard must be given up: nothing new starts in it. The listener calls back once
+	 * its log is idle.
+	 * @param shard the shard
+	 * @param ready is told whether nothing is held back for an earlier owner
+	 */
+	void prepareRelease(ShardId shard, java.util.function.Consumer<Boolean> ready);
+
+	/**
+	 * This entry VM does not own the shard any more.
+	 * @param shard the shard
+	 * @param epoch the epoch that ended
+	 */
+	void lost(ShardId shard, Epoch epoch);
+
+	/**
+	 * The commit deadline of all owned shards changed, or passed.
+	 */
+	void deadlineChanged();
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/tasks/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Carries out the decisions about tasks.
+ */
+package io.lentilstream.entry.tasks;
