Add wire, membership, settings schema and administration

Cause: the entry daemon is written against these modules at the same time and needs their public methods. Change: frames and codec with a Netty transport; peer view and settings replica without I/O; the table of settings with validation and typed views; changes of settings over the store with history, keys and scopes.

--- /dev/null
+++ b/administration/src/main/java/io/lentilstream/administration/QueryOutcome.java
@@ -0,0 +1,45 @@
+package io.lentilstream.administration;
+
+/**
+ * Is the outcome of a query about settings.
+ *
+ * @param <T> the type of the result
+ */
+public sealed interface QueryOutcome<T> {
+
+	/**
+	 * The query was answered.
+	 *
+	 * @param <T> the type of the result
+	 * @param result the result
+	 */
+	record Found<T>(T result) implements QueryOutcome<T> {
+	}
+
+	/**
+	 * There is nothing under the path, or the history does not reach back far enough.
+	 *
+	 * @param <T> the type of the result
+	 * @param what what is missing
+	 */
+	record NotFound<T>(String what) implements QueryOutcome<T> {
+	}
+
+	/**
+	 * The key does not allow the query.
+	 *
+	 * @param <T> the type of the result
+	 */
+	record Forbidden<T>() implements QueryOutcome<T> {
+	}
+
+	/**
+	 * The store could not be used, or holds a document that cannot be read.
+	 *
+	 * @param <T> the type of the result
+	 * @param reason a short reason
+	 */
+	record Unavailable<T>(String reason) implements QueryOutcome<T> {
+	}
+
+}
--- /dev/null
+++ b/administration/src/main/java/io/lentilstream/administration/SettingsAdministrator.java
@@ -0,0 +1,409 @@
+package io.lentilstream.administration;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.SortedMap;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiFunction;
+import java.util.function.Function;
+
+import io.lentilstream.model.Revision;
+import io.lentilstream.platform.ListOutcome;
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.StoreClient;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.platform.StoreWrite;
+import io.lentilstream.platform.StoredValue;
+import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.settings.schema.SettingDefinition;
+import io.lentilstream.settings.schema.SettingsMistake;
+import io.lentilstream.settings.schema.SettingsSchema;
+import io.lentilstream.settings.schema.SettingsValidator;
+
+/**
+ * Changes and shows settings in the store. A change takes one read and one write;
+ * accepted means that the write took effect. No future completes exceptionally.
+ */
+public final class SettingsAdministrator {
+
+	/**
+	 * Most attempts of one write whose replies are lost.
+	 */
+	static final int MAX_ATTEMPTS = 3;
+
+	private final StoreClient store;
+
+	/**
+	 * Creates an administrator.
+	 * @param store the store
+	 */
+	public SettingsAdministrator(StoreClient store) {
+		this.store = store;
+	}
+
+	/**
+	 * Returns one setting.
+	 * @param access what the caller may do
+	 * @param path the path of the setting
+	 * @return the value or its default
+	 */
+	public CompletableFuture<QueryOutcome<ValueView>> get(Access access, String path) {
+		Optional<SettingDefinition> definition = SettingsSchema.find(path);
+		if (definition.isEmpty()) {
+			return done(access.mayRead(path) ? new QueryOutcome.NotFound<>(path) : new QueryOutcome.Forbidden<>());
+		}
+		return query(access, path, (document) -> {
+			String value = document.values().get(path);
+			String shown = (value != null) ? definition.get().shown(value) : definition.get().defaultValue();
+			return new QueryOutcome.Found<>(new ValueView(path, shown, value == null, document.revision()));
+		});
+	}
+
+	/**
+	 * Returns all values that are set below a path. Only the administrator lists across
+	 * teams.
+	 * @param access what the caller may do
+	 * @param prefix the path of a subtree, such as {@code /teams/bakery/services} or
+	 * {@code /teams}
+	 * @return the values by path; secrets are not shown
+	 */
+	public CompletableFuture<QueryOutcome<SortedMap<String, String>>> list(Access access, String prefix) {
+		String path = prefix.endsWith("/") ? prefix.substring(0, prefix.length() - 1) : prefix;
+		if (path.equals("/teams")) {
+			return listTeams(access);
+		}
+		return query(access, path, (document) -> new QueryOutcome.Found<>(shown(document.values(), path)));
+	}
+
+	/**
+	 * Changes several settings of one document at once.
+	 * @param access what the caller may do
+	 * @param request the change
+	 * @return the outcome
+	 */
+	public CompletableFuture<ChangeOutcome> set(Access access, ChangeRequest request) {
+		return change(access, request, (document, edited) -> write(request, document, edited));
+	}
+
+	/**
+	 * Checks a change without writing it.
+	 * @param access what the caller may do
+	 * @param request the change
+	 * @return what {@link #set} would answer now
+	 */
+	public CompletableFuture<ChangeOutcome> dryRun(Access access, ChangeRequest request) {
+		return change(access, request, (document, edited) -> done(new ChangeOutcome.WouldBeAccepted(document.path(),
+				document.content().revision(), Difference.between(document.content().values(), edited))));
+	}
+
+	/**
+	 * Compares two revisions of a document.
+	 * @param access what the caller may do
+	 * @param document the path of the document
+	 * @param from the earlier revision
+	 * @param to the later revision
+	 * @return the differences
+	 */
+	public CompletableFuture<QueryOutcome<List<Difference>>> diff(Access access, String document, Revision from,
+			Revision to) {
+		return query(access, document, (content) -> {
+			Optional<SortedMap<String, String>> before = content.valuesAt(from);
+			Optional<SortedMap<String, String>> after = content.valuesAt(to);
+			if (before.isEmpty() || after.isEmpty()) {
+				return new QueryOutcome.NotFound<>("revision " + (before.isEmpty() ? from : to) + " of " + document);
+			}
+			return new QueryOutcome.Found<>(Difference.between(before.get(), after.get()));
+		});
+	}
+
+	/**
+	 * Returns the last changes of a document.
+	 * @param access what the caller may do
+	 * @param document the path of the document
+	 * @return the kept changes, oldest first; secrets are not shown
+	 */
+	public CompletableFuture<QueryOutcome<List<ChangeRecord>>> history(Access access, String document) {
+		return query(access, document, (content) -> new QueryOutcome.Found<>(shown(content.changes())));
+	}
+
+	/**
+	 * Returns a document to the values of an earlier revision, as a new revision.
+	 * @param access what the caller may do; must allow every change that this makes
+	 * @param request the change; its edits are not used
+	 * @param document the path of the document
+	 * @param revision the revision to return to
+	 * @return the outcome
+	 */
+	public CompletableFuture<ChangeOutcome> revert(Access access, ChangeRequest request, String document,
+			Revision revision) {
+		if (!access.mayRead(document) || !isDocumentOf(request.id(), document)) {
+			return done(new ChangeOutcome.Forbidden(document));
+		}
+		return load(document).thenCompose((loaded) -> {
+			if (!(loaded instanceof Loaded.Found found)) {
+				return done(new ChangeOutcome.Unavailable(((Loaded.Failed) loaded).reason()));
+			}
+			Optional<SortedMap<String, String>> earlier = found.content().valuesAt(revision);
+			if (earlier.isEmpty()) {
+				return done(new ChangeOutcome.NotInHistory(revision));
+			}
+			Map<String, Optional<String>> edits = new HashMap<>();
+			found.content().values().keySet().forEach((path) -> edits.put(path, Optional.empty()));
+			earlier.get().forEach((path, value) -> edits.put(path, Optional.of(value)));
+			edits.entrySet()
+				.removeIf((edit) -> edit.getValue()
+					.equals(Optional.ofNullable(found.content().values().get(edit.getKey()))));
+			ChangeRequest concrete = new ChangeRequest(request.id(), request.author(), request.reason(),
+					request.atMillis(), edits, request.expected());
+			return decide(access, concrete, found, (target, edited) -> write(concrete, target, edited));
+		});
+	}
+
+	/**
+	 * Looks up the outcome of a change by its id.
+	 * @param access what the caller may do
+	 * @param id the id of the change
+	 * @return the change, or that it is not among the kept changes: it was refused, is
+	 * older than the history, or its write is still under way
+	 */
+	public CompletableFuture<QueryOutcome<ChangeRecord>> statusOf(Access access, ChangeId id) {
+		Optional<String> document = id.document();
+		if (document.isEmpty()) {
+			return done(new QueryOutcome.NotFound<>("change " + id));
+		}
+		return query(access, document.get(), (content) -> {
+			Optional<ChangeRecord> change = content.change(id);
+			if (change.isEmpty()) {
+				return new QueryOutcome.NotFound<>("change " + id);
+			}
+			return new QueryOutcome.Found<>(shown(List.of(change.get())).get(0));
+		});
+	}
+
+	private <T> CompletableFuture<QueryOutcome<T>> query(Access access, String path,
+			Function<StoredDocument, QueryOutcome<T>> answer) {
+		if (!access.mayRead(path)) {
+			return done(new QueryOutcome.Forbidden<>());
+		}
+		Optional<String> document = SettingsSchema.documentOf(path);
+		if (document.isEmpty()) {
+			return done(new QueryOutcome.NotFound<>(path));
+		}
+		return load(document.get()).thenApply((loaded) -> {
+			if (loaded instanceof Loaded.Found found) {
+				return answer.apply(found.content());
+			}
+			return new QueryOutcome.Unavailable<>(((Loaded.Failed) loaded).reason());
+		});
+	}
+
+	private CompletableFuture<QueryOutcome<SortedMap<String, String>>> listTeams(Access access) {
+		if (!access.mayRead("/teams")) {
+			return done(new QueryOutcome.Forbidden<>());
+		}
+		return this.store.list(new StoreKey("/teams/")).thenApply((outcome) -> {
+			if (!(outcome instanceof ListOutcome.Listed listed)) {
+				return new QueryOutcome.Unavailable<>("the store does not answer");
+			}
+			SortedMap<String, String> all = new TreeMap<>();
+			for (StoredValue value : listed.values()) {
+				String path = value.key().path();
+				if (!(DocumentCodec.decode(path, value.value()) instanceof DocumentOutcome.Decoded decoded)) {
+					return new QueryOutcome.Unavailable<>("the document " + path + " cannot be read");
+				}
+				all.putAll(shown(decoded.document().values(), path));
+			}
+			return new QueryOutcome.Found<>(all);
+		});
+	}
+
+	private CompletableFuture<ChangeOutcome> change(Access access, ChangeRequest request,
+			BiFunction<Loaded.Found, SortedMap<String, String>, CompletableFuture<ChangeOutcome>> then) {
+		Optional<String> forbidden = firstForbidden(access, request);
+		if (forbidden.isPresent()) {
+			return done(new ChangeOutcome.Forbidden(forbidden.get()));
+		}
+		List<SettingsMistake> mistakes = mistakesOfPaths(request);
+		if (!mistakes.isEmpty()) {
+			return done(new ChangeOutcome.Invalid(mistakes));
+		}
+		return load(request.id().document().orElseThrow()).thenCompose((loaded) -> {
+			if (loaded instanceof Loaded.Found found) {
+				return decide(access, request, found, then);
+			}
+			return done(new ChangeOutcome.Unavailable(((Loaded.Failed) loaded).reason()));
+		});
+	}
+
+	private CompletableFuture<ChangeOutcome> decide(Access access, ChangeRequest request, Loaded.Found found,
+			BiFunction<Loaded.Found, SortedMap<String, String>, CompletableFuture<ChangeOutcome>> then) {
+		Optional<String> forbidden = firstForbidden(access, request);
+		if (forbidden.isPresent()) {
+			return done(new ChangeOutcome.Forbidden(forbidden.get()));
+		}
+		StoredDocument content = found.content();
+		Optional<ChangeRecord> same = content.change(request.id());
+		if (same.isPresent()) {
+			return done(new ChangeOutcome.Accepted(request.id(), found.path(), same.get().revision()));
+		}
+		if (request.expected().isPresent() && !request.expected().get().equals(content.revision())) {
+			return done(conflict(found.path(), content, request.expected().get()));
+		}
+		SortedMap<String, String> edited = new TreeMap<>(content.values());
+		request.edits().forEach((path, value) -> StoredDocument.put(edited, path, value));
+		List<SettingsMistake> mistakes = SettingsValidator.validate(edited);
+		return mistakes.isEmpty() ? then.apply(found, edited) : done(new ChangeOutcome.Invalid(mistakes));
+	}
+
+	private CompletableFuture<ChangeOutcome> write(ChangeRequest request, Loaded.Found found,
+			SortedMap<String, String> edited) {
+		StoredDocument content = found.content();
+		Map<String, ChangeRecord.Edit> edits = new HashMap<>();
+		request.edits()
+			.forEach((path, value) -> edits.put(path,
+					new ChangeRecord.Edit(Optional.ofNullable(content.values().get(path)), value)));
+		ChangeRecord record = new ChangeRecord(request.id(), content.revision().next(), request.author(),
+				request.reason(), request.atMillis(), edits);
+		List<ChangeRecord> changes = new ArrayList<>(content.changes());
+		changes.add(record);
+		byte[] bytes = DocumentCodec.encode(found.path(), new StoredDocument(record.revision(), edited, changes));
+		if (bytes.length > StoreClient.MAX_VALUE_BYTES) {
+			return done(new ChangeOutcome.TooLarge(bytes.length, StoreClient.MAX_VALUE_BYTES));
+		}
+		StoreWrite write = StoreWrite.put(new StoreKey(found.path()), bytes, found.version());
+		return attempt(write, record, false, 1);
+	}
+
+	private CompletableFuture<ChangeOutcome> attempt(StoreWrite write, ChangeRecord record, boolean lost,
+			int attempts) {
+		return this.store.write(write).thenCompose((outcome) -> {
+			String path = write.key().path();
+			if (outcome instanceof WriteOutcome.Written) {
+				return done(new ChangeOutcome.Accepted(record.id(), path, record.revision()));
+			}
+			if (outcome instanceof WriteOutcome.Conflict conflict) {
+				return done(settle(path, record, lost, conflict));
+			}
+			boolean maybeWritten = lost || outcome instanceof WriteOutcome.ReplyLost;
+			if (!maybeWritten) {
+				return done(new ChangeOutcome.Unavailable(((WriteOutcome.NotWritten) outcome).reason()));
+			}
+			if (attempts >= MAX_ATTEMPTS) {
+				return done(new ChangeOutcome.Unknown(record.id()));
+			}
+			// The repetition is safe: at most one write can find the expected version,
+			// and
+			// the change id in the document tells whether it was this one.
+			return attempt(write, record, true, attempts + 1);
+		});
+	}
+
+	private ChangeOutcome settle(String path, ChangeRecord record, boolean lost, WriteOutcome.Conflict conflict) {
+		if (conflict.current().isEmpty()) {
+			return lost ? new ChangeOutcome.Unknown(record.id())
+					: new ChangeOutcome.Conflict(path, Revision.NONE, List.of());
+		}
+		if (!(DocumentCodec.decode(path,
+				conflict.current().get().value()) instanceof DocumentOutcome.Decoded decoded)) {
+			return lost ? new ChangeOutcome.Unknown(record.id())
+					: new ChangeOutcome.Unavailable("the document " + path + " cannot be read");
+		}
+		StoredDocument current = decoded.document();
+		if (current.change(record.id()).isPresent()) {
+			return new ChangeOutcome.Accepted(record.id(), path, record.revision());
+		}
+		Revision before = new Revision(record.revision().value() - 1);
+		// The change may have been written and then dropped from the history by later
+		// ones.
+		if (lost && !current.keepsChangesAfter(before)) {
+			return new ChangeOutcome.Unknown(record.id());
+		}
+		return conflict(path, current, before);
+	}
+
+	private static ChangeOutcome conflict(String path, StoredDocument current, Revision seen) {
+		return new ChangeOutcome.Conflict(path, current.revision(), shown(current.changesAfter(seen)));
+	}
+
+	private CompletableFuture<Loaded> load(String path) {
+		return this.store.read(new StoreKey(path)).thenApply((outcome) -> {
+			if (!(outcome instanceof ReadOutcome.Read read)) {
+				return new Loaded.Failed("the store does not answer");
+			}
+			if (read.value().isEmpty()) {
+				return new Loaded.Found(path, StoredDocument.ABSENT, StoreWrite.ABSENT);
+			}
+			DocumentOutcome decoded = DocumentCodec.decode(path, read.value().get().value());
+			if (decoded instanceof DocumentOutcome.Decoded found) {
+				return new Loaded.Found(path, found.document(), read.value().get().version());
+			}
+			return new Loaded.Failed("the document " + path + " cannot be read");
+		});
+	}
+
+	private static Optional<String> firstForbidden(Access access, ChangeRequest request) {
+		return request.edits().keySet().stream().sorted().filter((path) -> !access.mayChange(path)).findFirst();
+	}
+
+	private static List<SettingsMistake> mistakesOfPaths(ChangeRequest request) {
+		List<SettingsMistake> mistakes = new ArrayList<>();
+		if (request.edits().isEmpty()) {
+			mistakes.add(new SettingsMistake("", "no path", "at least one path to change"));
+		}
+		for (String path : new TreeMap<>(request.edits()).keySet()) {
+			Optional<String> document = SettingsSchema.documentOf(path);
+			if (document.isEmpty() || !isDocumentOf(request.id(), document.get())) {
+				mistakes.add(new SettingsMistake(path, "a path outside of the document of the change",
+						"a path below " + request.id().document().orElse("a document")));
+			}
+		}
+		return mistakes;
+	}
+
+	private static boolean isDocumentOf(ChangeId id, String document) {
+		return id.document().equals(Optional.of(document));
+	}
+
+	private static SortedMap<String, String> shown(Map<String, String> values, String path) {
+		SortedMap<String, String> shown = new TreeMap<>();
+		values.forEach((key, value) -> {
+			if (key.equals(path) || key.startsWith(path + "/")) {
+				shown.put(key, Access.shown(key, value));
+			}
+		});
+		return shown;
+	}
+
+	private static List<ChangeRecord> shown(List<ChangeRecord> changes) {
+		List<ChangeRecord> shown = new ArrayList<>();
+		for (ChangeRecord change : changes) {
+			Map<String, ChangeRecord.Edit> edits = new HashMap<>();
+			change.edits()
+				.forEach((path, edit) -> edits.put(path,
+						new ChangeRecord.Edit(edit.before().map((value) -> Access.shown(path, value)),
+								edit.after().map((value) -> Access.shown(path, value)))));
+			shown.add(new ChangeRecord(change.id(), change.revision(), change.author(), change.reason(),
+					change.atMillis(), edits));
+		}
+		return shown;
+	}
+
+	private static <T> CompletableFuture<T> done(T outcome) {
+		return CompletableFuture.completedFuture(outcome);
+	}
+
+	private sealed interface Loaded {
+
+		record Found(String path, StoredDocument content, long version) implements Loaded {
+		}
+
+		record Failed(String reason) implements Loaded {
+		}
+
+	}
+
+}
--- /dev/null
+++ b/administration/src/main/java/io/lentilstream/administration/ValueView.java
@@ -0,0 +1,14 @@
+package io.lentilstream.administration;
+
+import io.lentilstream.model.Revision;
+
+/**
+ * Shows one setting.
+ *
+ * @param path the path
+ * @param value the value in the store, or the default; secrets are not shown
+ * @param isDefault whether the value is the default
+ * @param revision the revision of the document
+ */
+public record ValueView(String path, String value, boolean isDefault, Revision revision) {
+}
--- /dev/null
+++ b/membership/src/main/java/io/lentilstream/membership/DocumentFormat.java
@@ -0,0 +1,22 @@
+package io.lentilstream.membership;
+
+import java.util.Optional;
+
+import io.lentilstream.platform.StoreKey;
+
+/**
+ * Reads the bytes of a settings document, from the store or from a peer.
+ */
+@FunctionalInterface
+public interface DocumentFormat {
+
+	/**
+	 * Reads a document.
+	 * @param key the key of the document
+	 * @param value the bytes
+	 * @return the document as replicas keep it, or empty if the format is not known or
+	 * the bytes are damaged
+	 */
+	Optional<SettingsDocument> read(StoreKey key, byte[] value);
+
+}
--- /dev/null
+++ b/membership/src/main/java/io/lentilstream/membership/MembershipTiming.java
@@ -0,0 +1,41 @@
+package io.lentilstream.membership;
+
+import java.time.Duration;
+
+/**
+ * Holds the intervals of membership and propagation.
+ *
+ * @param heartbeat time between heartbeats to a peer of the zone
+ * @param suspectAfter time without a heartbeat after which a peer of the zone is suspect
+ * @param goneAfter time without a heartbeat after which a peer of the zone is gone
+ * @param otherZoneFactor how many times longer these times are between zones
+ * @param flapWindow time that a peer must stay live until its earlier flaps are forgotten
+ * @param fetchInterval shortest time between two comparisons with the same peer
+ * @param noticeDelay time between applying documents and telling other watchers
+ * @param watchWait longest wait of one watch
+ * @param watchSpacing shortest time between the starts of two watches
+ * @param retryMin shortest pause after a failed store call
+ * @param retryMax longest pause after a failed store call
+ * @param relist time between two full reads of a watcher, against watches that miss an
+ * event
+ * @param startupPeerWait shortest time that a starting process listens for peers before
+ * it takes their settings
+ */
+public record MembershipTiming(Duration heartbeat, Duration suspectAfter, Duration goneAfter, int otherZoneFactor,
+		Duration flapWindow, Duration fetchInterval, Duration noticeDelay, Duration watchWait, Duration watchSpacing,
+		Duration retryMin, Duration retryMax, Duration relist, Duration startupPeerWait) {
+
+	/**
+	 * Returns the defaults. Between zones the factor 3 keeps the heartbeats of 91 entry
+	 * VMs below 16 KB/s per node; 5 watch returns per second keep 26 watchers below 130
+	 * reads/s; a full read every 30 min keeps its average below 2 KB/s per watcher.
+	 * @return the defaults
+	 */
+	public static MembershipTiming defaults() {
+		return new MembershipTiming(Duration.ofSeconds(1), Duration.ofSeconds(3), Duration.ofSeconds(10), 3,
+				Duration.ofSeconds(60), Duration.ofSeconds(1), Duration.ofMillis(300), Duration.ofSeconds(30),
+				Duration.ofMillis(200), Duration.ofMillis(200), Duration.ofSeconds(1), Duration.ofMinutes(30),
+				Duration.ofSeconds(2));
+	}
+
+}
--- /dev/null
+++ b/membership/src/main/java/io/lentilstream/membership/PeerAddress.java
@@ -0,0 +1,14 @@
+package io.lentilstream.membership;
+
+import io.lentilstream.model.AvailabilityZoneId;
+import io.lentilstream.model.VmId;
+
+/**
+ * Names a peer from the process settings.
+ *
+ * @param vm the VM of the peer
+ * @param zone its availability zone
+ * @param address host and port for frames between entry VMs
+ */
+public record PeerAddress(VmId vm, AvailabilityZoneId zone, String address) {
+}
--- /dev/null
+++ b/membership/src/main/java/io/lentilstream/membership/PeerView.java
@@ -0,0 +1,380 @@
+package io.lentilstream.membership;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.lentilstream.membership.MembershipAction.Connect;
+import io.lentilstream.membership.MembershipAction.Disconnect;
+import io.lentilstream.membership.MembershipAction.PeerChanged;
+import io.lentilstream.membership.MembershipAction.PeerRestarted;
+import io.lentilstream.membership.MembershipAction.Send;
+import io.lentilstream.model.AvailabilityZoneId;
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.VmEntry;
+import io.lentilstream.wire.LocalPeer;
+import io.lentilstream.wire.PeerMessage.Goodbye;
+import io.lentilstream.wire.PeerMessage.Heartbeat;
+import io.lentilstream.wire.ServiceRef;
+
+/**
+ * Decides which peers exist, in what state they are, and when they get heartbeats. Only
+ * heartbeats make a peer live; the settings and the platform's list only make it known.
+ */
+public final class PeerView {
+
+	/**
+	 * Number of entry VMs of a zone that watch the store.
+	 */
+	public static final int WATCHERS_PER_ZONE = 2;
+
+	/**
+	 * Most services in one heartbeat within a zone; a heartbeat stays below 1 KB.
+	 */
+	static final int ZONE_SERVICES = 16;
+
+	/**
+	 * Most services in one heartbeat between zones.
+	 */
+	static final int OTHER_ZONE_SERVICES = 4;
+
+	private final LocalPeer self;
+
+	private final MembershipTiming timing;
+
+	private final Map<VmId, PeerRecord> peers = new TreeMap<>();
+
+	private final FreeSlotsRound zoneRound = new FreeSlotsRound(ZONE_SERVICES);
+
+	private final FreeSlotsRound otherZoneRound = new FreeSlotsRound(OTHER_ZONE_SERVICES);
+
+	private MonotonicTime zoneDue;
+
+	private MonotonicTime otherZoneDue;
+
+	private boolean leaving;
+
+	/**
+	 * Creates a view without peers.
+	 * @param self the identity of this process
+	 * @param timing the intervals
+	 */
+	public PeerView(LocalPeer self, MembershipTiming timing) {
+		this.self = self;
+		this.timing = timing;
+	}
+
+	/**
+	 * Takes the peers of the process settings.
+	 * @param now the time
+	 * @param addresses the peers; this VM may be among them
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> configured(MonotonicTime now, List<PeerAddress> addresses) {
+		List<MembershipAction> actions = new ArrayList<>();
+		for (PeerAddress address : addresses) {
+			if (!address.vm().equals(this.self.vm())) {
+				PeerRecord peer = know(address.vm(), address.zone(), now);
+				peer.configured();
+				connect(peer, address.address(), actions);
+			}
+		}
+		return actions;
+	}
+
+	/**
+	 * Takes the platform's list of a zone. The list lags: it never makes a peer live, and
+	 * its absence of a peer only allows to forget one that is gone.
+	 * @param now the time
+	 * @param zone the zone that was listed
+	 * @param entries the whole list; only entry VMs are used
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> listed(MonotonicTime now, AvailabilityZoneId zone,
+			List<VmEntry> entries) {
+		List<MembershipAction> actions = new ArrayList<>();
+		for (PeerRecord peer : this.peers.values()) {
+			if (peer.zone().equals(zone)) {
+				peer.listed(false, false);
+			}
+		}
+		for (VmEntry entry : entries) {
+			if (entry.role() == VmEntry.Role.ENTRY && !entry.vm().equals(this.self.vm())) {
+				PeerRecord peer = know(entry.vm(), zone, now);
+				peer.listed(true, entry.status() == VmEntry.Status.LEAVING);
+				// A configured address is newer knowledge than the lagging list.
+				if (!peer.isConfigured()) {
+					connect(peer, entry.address(), actions);
+				}
+			}
+		}
+		updateAll(now, actions);
+		return actions;
+	}
+
+	/**
+	 * Takes a new link.
+	 * @param now the time
+	 * @param peer the identity that the peer proved
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> linkUp(MonotonicTime now, LocalPeer peer) {
+		List<MembershipAction> actions = new ArrayList<>();
+		PeerRecord known = know(peer.vm(), peer.zone(), now);
+		startRun(known, peer.incarnation(), now, actions);
+		known.linkUp(now);
+		(isInZone(known) ? this.zoneRound : this.otherZoneRound).restart();
+		update(known, now, actions);
+		return actions;
+	}
+
+	/**
+	 * Takes the end of a link.
+	 * @param now the time
+	 * @param vm the VM of the peer
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> linkDown(MonotonicTime now, VmId vm) {
+		List<MembershipAction> actions = new ArrayList<>();
+		PeerRecord peer = this.peers.get(vm);
+		if (peer != null) {
+			peer.linkDown();
+			update(peer, now, actions);
+		}
+		return actions;
+	}
+
+	/**
+	 * Takes a heartbeat.
+	 * @param now the time
+	 * @param from the sender
+	 * @param heartbeat the heartbeat
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> heartbeat(MonotonicTime now, VmId from, Heartbeat heartbeat) {
+		List<MembershipAction> actions = new ArrayList<>();
+		PeerRecord peer = this.peers.get(from);
+		if (peer != null) {
+			startRun(peer, heartbeat.incarnation(), now, actions);
+			peer.heard(heartbeat, now);
+			update(peer, now, actions);
+		}
+		return actions;
+	}
+
+	/**
+	 * Takes the goodbye of a peer that shuts down.
+	 * @param now the time
+	 * @param from the sender
+	 * @param goodbye the goodbye
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> goodbye(MonotonicTime now, VmId from, Goodbye goodbye) {
+		List<MembershipAction> actions = new ArrayList<>();
+		PeerRecord peer = this.peers.get(from);
+		if (peer != null) {
+			peer.goodbye(goodbye.incarnation());
+			update(peer, now, actions);
+		}
+		return actions;
+	}
+
+	/**
+	 * Announces to all peers that this process shuts down.
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> leave() {
+		this.leaving = true;
+		List<MembershipAction> actions = new ArrayList<>();
+		for (PeerRecord peer : this.peers.values()) {
+			if (peer.isLinked()) {
+				actions.add(new Send(peer.vm(), new Goodbye(this.self.incarnation())));
+			}
+		}
+		return actions;
+	}
+
+	/**
+	 * Sends the heartbeats that are due and derives the states. Call it several times per
+	 * heartbeat interval.
+	 * @param now the time
+	 * @param local what this process reports
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> tick(MonotonicTime now, LocalState local) {
+		List<MembershipAction> actions = new ArrayList<>();
+		updateAll(now, actions);
+		if (this.zoneDue == null || !now.isBefore(this.zoneDue)) {
+			this.zoneDue = now.plus(this.timing.heartbeat());
+			sendHeartbeats(true, this.zoneRound.next(local.freeSlots()), local, actions);
+		}
+		if (this.otherZoneDue == null || !now.isBefore(this.otherZoneDue)) {
+			this.otherZoneDue = now.plus(this.timing.heartbeat().multipliedBy(this.timing.otherZoneFactor()));
+			sendHeartbeats(false, this.otherZoneRound.next(local.freeSlots()), local, actions);
+		}
+		return actions;
+	}
+
+	/**
+	 * Returns all known peers, without this process.
+	 * @return the peers in the order of their ids
+	 */
+	public synchronized List<PeerInfo> peers() {
+		return this.peers.values().stream().map(PeerRecord::info).toList();
+	}
+
+	/**
+	 * Returns one peer.
+	 * @param vm the VM
+	 * @return the peer, or empty if it is not known
+	 */
+	public synchronized Optional<PeerInfo> peer(VmId vm) {
+		return Optional.ofNullable(this.peers.get(vm)).map(PeerRecord::info);
+	}
+
+	/**
+	 * Tells whether a peer is known.
+	 * @param vm the VM
+	 * @return whether it is known
+	 */
+	public synchronized boolean knows(VmId vm) {
+		return this.peers.containsKey(vm);
+	}
+
+	/**
+	 * Returns the live entry VMs of a zone; of this zone with this process unless it
+	 * leaves.
+	 * @param zone the zone
+	 * @return the ids in ascending order
+	 */
+	public synchronized List<VmId> live(AvailabilityZoneId zone) {
+		List<VmId> live = new ArrayList<>();
+		for (PeerRecord peer : this.peers.values()) {
+			if (peer.zone().equals(zone) && peer.state() == PeerState.LIVE) {
+				live.add(peer.vm());
+			}
+		}
+		if (zone.equals(this.self.zone()) && !this.leaving) {
+			live.add(this.self.vm());
+		}
+		live.sort(null);
+		return live;
+	}
+
+	/**
+	 * Returns the entry VMs of a zone that watch the store: the lowest two live ids.
+	 * @param zone the zone
+	 * @return at most two ids in ascending order
+	 */
+	public List<VmId> watchers(AvailabilityZoneId zone) {
+		List<VmId> live = live(zone);
+		return live.subList(0, Math.min(WATCHERS_PER_ZONE, live.size()));
+	}
+
+	/**
+	 * Returns the other zones in which a peer is known.
+	 * @return the zones
+	 */
+	public synchronized List<AvailabilityZoneId> otherZones() {
+		return this.peers.values()
+			.stream()
+			.map(PeerRecord::zone)
+			.filter((zone) -> !zone.equals(this.self.zone()))
+			.distinct()
+			.sorted()
+			.toList();
+	}
+
+	/**
+	 * Returns the live peers that reported free slots for a service.
+	 * @param service the service
+	 * @return free slots by VM
+	 */
+	public synchronized Map<VmId, Integer> freeSlots(ServiceRef service) {
+		Map<VmId, Integer> free = new HashMap<>();
+		for (PeerRecord peer : this.peers.values()) {
+			Integer slots = peer.freeSlots().get(service);
+			if (slots != null && peer.state() == PeerState.LIVE) {
+				free.put(peer.vm(), slots);
+			}
+		}
+		return free;
+	}
+
+	/**
+	 * Returns the live peer that reported a shard with the highest epoch.
+	 * @param shard the shard
+	 * @return the peer, or empty if none reported it
+	 */
+	public synchronized Optional<VmId> owner(ShardId shard) {
+		VmId owner = null;
+		Epoch highest = Epoch.NONE;
+		for (PeerRecord peer : this.peers.values()) {
+			Epoch epoch = peer.shards().get(shard);
+			if (epoch != null && peer.state() == PeerState.LIVE && epoch.compareTo(highest) > 0) {
+				owner = peer.vm();
+				highest = epoch;
+			}
+		}
+		return Optional.ofNullable(owner);
+	}
+
+	private PeerRecord know(VmId vm, AvailabilityZoneId zone, MonotonicTime now) {
+		return this.peers.computeIfAbsent(vm,
+				(id) -> new PeerRecord(id, zone, zone.equals(this.self.zone()), this.timing, now));
+	}
+
+	private boolean isInZone(PeerRecord peer) {
+		return peer.zone().equals(this.self.zone());
+	}
+
+	private void connect(PeerRecord peer, String address, List<MembershipAction> actions) {
+		if (peer.moveTo(address)) {
+			actions.add(new Connect(peer.vm(), address));
+		}
+	}
+
+	private void startRun(PeerRecord peer, long incarnation, MonotonicTime now, List<MembershipAction> actions) {
+		if (peer.startRun(incarnation, now)) {
+			actions.add(new PeerRestarted(peer.vm(), incarnation));
+		}
+	}
+
+	private void updateAll(MonotonicTime now, List<MembershipAction> actions) {
+		Iterator<PeerRecord> all = this.peers.values().iterator();
+		while (all.hasNext()) {
+			PeerRecord peer = all.next();
+			update(peer, now, actions);
+			if (peer.isForgettable()) {
+				all.remove();
+				actions.add(new Disconnect(peer.vm()));
+			}
+		}
+	}
+
+	private void update(PeerRecord peer, MonotonicTime now, List<MembershipAction> actions) {
+		PeerState before = peer.update(now);
+		if (before != peer.state()) {
+			actions.add(new PeerChanged(peer.vm(), before, peer.state()));
+		}
+	}
+
+	private void sendHeartbeats(boolean inZone, Map<ServiceRef, Integer> freeSlots, LocalState local,
+			List<MembershipAction> actions) {
+		for (PeerRecord peer : this.peers.values()) {
+			if (peer.isLinked() && isInZone(peer) == inZone) {
+				actions.add(new Send(peer.vm(),
+						new Heartbeat(this.self.incarnation(), peer.nextSequence(), peer.seenSequence(), this.leaving,
+								local.settingsReady(), local.digest(), freeSlots, local.shards())));
+			}
+		}
+	}
+
+}
--- /dev/null
+++ b/membership/src/main/java/io/lentilstream/membership/SettingsDocument.java
@@ -0,0 +1,15 @@
+package io.lentilstream.membership;
+
+import io.lentilstream.model.Revision;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.wire.PeerMessage.Bytes;
+
+/**
+ * Is one settings document as replicas keep it.
+ *
+ * @param key the key of the document, such as {@code /teams/bakery}
+ * @param revision the revision
+ * @param content the settings without the history
+ */
+public record SettingsDocument(StoreKey key, Revision revision, Bytes content) {
+}
--- /dev/null
+++ b/membership/src/main/java/io/lentilstream/membership/SettingsReplica.java
@@ -0,0 +1,480 @@
+package io.lentilstream.membership;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.random.RandomGenerator;
+
+import io.lentilstream.membership.MembershipAction.DocumentApplied;
+import io.lentilstream.membership.MembershipAction.DocumentRefused;
+import io.lentilstream.membership.MembershipAction.ListStore;
+import io.lentilstream.membership.MembershipAction.Send;
+import io.lentilstream.membership.MembershipAction.SettingsReady;
+import io.lentilstream.membership.MembershipAction.WatchStore;
+import io.lentilstream.model.AvailabilityZoneId;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.Revision;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.ListOutcome;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.platform.StoredValue;
+import io.lentilstream.platform.WatchOutcome;
+import io.lentilstream.wire.LocalPeer;
+import io.lentilstream.wire.PeerMessage.Document;
+import io.lentilstream.wire.PeerMessage.FetchDocuments;
+import io.lentilstream.wire.PeerMessage.Heartbeat;
+import io.lentilstream.wire.SettingsDigest;
+
+/**
+ * Decides which settings documents are in force in this process. A document is taken as a
+ * whole and only if its revision is higher than the one in force, whatever its source.
+ */
+public final class SettingsReplica {
+
+	/**
+	 * The prefix of the documents of teams.
+	 */
+	public static final StoreKey TEAMS = new StoreKey("/teams/");
+
+	/**
+	 * The document of the platform.
+	 */
+	public static final StoreKey PLATFORM = new StoreKey("/platform");
+
+	/**
+	 * Most bytes of documents in the answer to one comparison; the rest follows with the
+	 * next one, so that a catch-up cannot fill the send queue of a link.
+	 */
+	static final int MAX_ANSWER_BYTES = 1 << 20;
+
+	private static final String STORE = "store";
+
+	private final LocalPeer self;
+
+	private final MembershipTiming timing;
+
+	private final DocumentFormat format;
+
+	private final PeerView view;
+
+	private final DocumentSet documents = new DocumentSet();
+
+	private final List<StoreWatch> watches = new ArrayList<>();
+
+	private final Map<VmId, PeerSync> syncs = new TreeMap<>();
+
+	private final Map<String, Long> notices = new HashMap<>();
+
+	private MonotonicTime noticeDue;
+
+	private MonotonicTime started;
+
+	private MonotonicTime nextWatch;
+
+	private MonotonicTime nextAsk;
+
+	private int asked;
+
+	private boolean ready;
+
+	/**
+	 * Creates a replica without documents.
+	 * @param self the identity of this process
+	 * @param timing the intervals
+	 * @param format reads documents
+	 * @param view the view of the peers
+	 * @param random the source of jitter
+	 */
+	public SettingsReplica(LocalPeer self, MembershipTiming timing, DocumentFormat format, PeerView view,
+			RandomGenerator random) {
+		this.self = self;
+		this.timing = timing;
+		this.format = format;
+		this.view = view;
+		this.watches.add(new StoreWatch(TEAMS, timing, random));
+		this.watches.add(new StoreWatch(PLATFORM, timing, random));
+	}
+
+	/**
+	 * Starts what is due: store calls, notices and comparisons with peers. Call it at
+	 * least every 100 ms.
+	 * @param now the time
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> tick(MonotonicTime now) {
+		if (this.started == null) {
+			this.started = now;
+		}
+		List<MembershipAction> actions = new ArrayList<>();
+		this.syncs.keySet().removeIf((vm) -> !this.view.knows(vm));
+		callStore(now, actions);
+		if (!this.ready) {
+			askPeers(now);
+			checkReady(now, actions);
+		}
+		sendNotices(now, actions);
+		for (Map.Entry<VmId, PeerSync> sync : this.syncs.entrySet()) {
+			fetch(now, sync.getKey(), sync.getValue(), actions);
+		}
+		return actions;
+	}
+
+	/**
+	 * Takes the outcome of a list.
+	 * @param now the time
+	 * @param call the action that asked for it
+	 * @param outcome the outcome
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> listed(MonotonicTime now, ListStore call, ListOutcome outcome) {
+		List<MembershipAction> actions = new ArrayList<>();
+		StoreWatch watch = watchOf(call.prefix());
+		boolean current = watch.ended(call.call());
+		if (outcome instanceof ListOutcome.Listed listed) {
+			takeFromStore(now, listed.values(), actions);
+			if (current) {
+				watch.listed(now, listed.revision());
+			}
+		}
+		else if (current) {
+			watch.failed(now);
+		}
+		checkReady(now, actions);
+		return actions;
+	}
+
+	/**
+	 * Takes the outcome of a watch. Deleted keys are ignored: a document is emptied by a
+	 * new revision, never by deleting its key.
+	 * @param now the time
+	 * @param call the action that asked for it
+	 * @param outcome the outcome
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> watched(MonotonicTime now, WatchStore call, WatchOutcome outcome) {
+		List<MembershipAction> actions = new ArrayList<>();
+		StoreWatch watch = watchOf(call.prefix());
+		boolean current = watch.ended(call.call());
+		if (outcome instanceof WatchOutcome.Changes changes) {
+			takeFromStore(now, changes.changed(), actions);
+			if (current) {
+				watch.watched(changes.revision());
+			}
+		}
+		else if (current && outcome instanceof WatchOutcome.Compacted) {
+			watch.compacted();
+		}
+		else if (current) {
+			watch.failed(now);
+		}
+		return actions;
+	}
+
+	/**
+	 * Takes a document from a peer.
+	 * @param now the time
+	 * @param from the sender
+	 * @param document the document
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> received(MonotonicTime now, VmId from, Document document) {
+		List<MembershipAction> actions = new ArrayList<>();
+		if (isDocumentPath(document.path())) {
+			take(now, new StoreKey(document.path()), document.content().array(), from, actions);
+		}
+		return actions;
+	}
+
+	/**
+	 * Takes the revisions of a peer and answers with the documents that it asks for.
+	 * @param now the time
+	 * @param from the sender
+	 * @param fetch the revisions that it holds and the buckets that it asks for
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> received(MonotonicTime now, VmId from, FetchDocuments fetch) {
+		List<MembershipAction> actions = new ArrayList<>();
+		boolean whole = answer(from, fetch, actions);
+		if (whole && fetch.buckets() == SettingsDigest.ALL_BUCKETS) {
+			actions.add(
+					new Send(from, new FetchDocuments(0, this.documents.held(SettingsDigest.ALL_BUCKETS), this.ready)));
+		}
+		int missing = 0;
+		for (Map.Entry<String, Long> entry : fetch.held().entrySet()) {
+			if (isDocumentPath(entry.getKey())
+					&& this.documents.revisionOf(new StoreKey(entry.getKey())).value() < entry.getValue()) {
+				missing |= 1 << SettingsDigest.bucketOf(entry.getKey());
+			}
+		}
+		PeerSync sync = sync(from);
+		if (missing != 0) {
+			sync.want(missing);
+			fetch(now, from, sync, actions);
+		}
+		else if (fetch.complete()) {
+			sync.completed();
+		}
+		checkReady(now, actions);
+		return actions;
+	}
+
+	/**
+	 * Compares the digest of a peer with the own one.
+	 * @param now the time
+	 * @param from the sender
+	 * @param heartbeat the heartbeat
+	 * @return the actions
+	 */
+	public synchronized List<MembershipAction> heartbeat(MonotonicTime now, VmId from, Heartbeat heartbeat) {
+		List<MembershipAction> actions = new ArrayList<>();
+		int unknown = this.documents.unknownBuckets(heartbeat.digest());
+		// Between zones only watchers compare, since the other VMs get everything from
+		// the watchers of their own zone.
+		boolean sameZone = this.view.peer(from).map((peer) -> peer.zone().equals(this.self.zone())).orElse(false);
+		if (unknown != 0 && (sameZone || isWatcher())) {
+			PeerSync sync = sync(from);
+			sync.want(unknown);
+			fetch(now, from, sync, actions);
+		}
+		return actions;
+	}
+
+	/**
+	 * Tells whether a complete set of settings is in force.
+	 * @return whether the process may serve
+	 */
+	public synchronized boolean isReady() {
+		return this.ready;
+	}
+
+	/**
+	 * Returns the digest for heartbeats.
+	 * @return the digest of the documents in force
+	 */
+	public synchronized SettingsDigest digest() {
+		return this.documents.digest();
+	}
+
+	/**
+	 * Returns the revision of a document.
+	 * @param key the key of the document
+	 * @return the revision in force; {@link Revision#NONE} if there is none
+	 */
+	public synchronized Revision revisionOf(StoreKey key) {
+		return this.documents.revisionOf(key);
+	}
+
+	/**
+	 * Returns the documents in force.
+	 * @return the documents in the order of their keys
+	 */
+	public synchronized List<SettingsDocument> documents() {
+		return List.copyOf(this.documents.all());
+	}
+
+	/**
+	 * Returns one document in force.
+	 * @param key the key of the document
+	 * @return the document, or empty if there is none
+	 */
+	public synchronized Optional<SettingsDocument> document(StoreKey key) {
+		return this.documents.document(key);
+	}
+
+	/**
+	 * Tells which entry VMs have a revision in force, from the digests in their
+	 * heartbeats.
+	 * @param key the key of the document
+	 * @param revision the revision
+	 * @return the report; peers that are gone are not listed
+	 */
+	public synchronized InForceReport inForce(StoreKey key, Revision revision) {
+		List<VmId> inForce = new ArrayList<>();
+		List<VmId> behind = new ArrayList<>();
+		List<VmId> unknown = new ArrayList<>();
+		boolean own = this.documents.revisionOf(key).compareTo(revision) >= 0;
+		(own ? inForce : behind).add(this.self.vm());
+		for (PeerInfo peer : this.view.peers()) {
+			if (peer.state() == PeerState.GONE) {
+				continue;
+			}
+			Optional<Boolean> has = peer.digest().flatMap((digest) -> this.documents.hasInForce(key, revision, digest));
+			List<VmId> part = has.map((in) -> in ? inForce : behind).orElse(unknown);
+			part.add(peer.vm());
+		}
+		return new InForceReport(inForce, behind, unknown);
+	}
+
+	/**
+	 * Tells whether this process watches the store.
+	 * @return whether it is one of the lowest two live ids of its zone
+	 */
+	public boolean isWatcher() {
+		return this.view.watchers(this.self.zone()).contains(this.self.vm());
+	}
+
+	private void callStore(MonotonicTime now, List<MembershipAction> actions) {
+		boolean watching = isWatcher();
+		// The spacing holds over both prefixes; the one that waited longer goes first.
+		this.watches.sort(Comparator.comparingLong(StoreWatch::lastCall));
+		for (StoreWatch watch : this.watches) {
+			boolean mayWatch = this.nextWatch == null || !now.isBefore(this.nextWatch);
+			Optional<MembershipAction> call = watch.tick(now, watching, this.ready, mayWatch);
+			call.ifPresent(actions::add);
+			if (call.isPresent() && call.get() instanceof WatchStore) {
+				this.nextWatch = now.plus(this.timing.watchSpacing());
+			}
+		}
+	}
+
+	private StoreWatch watchOf(StoreKey prefix) {
+		for (StoreWatch watch : this.watches) {
+			if (watch.prefix().equals(prefix)) {
+				return watch;
+			}
+		}
+		throw new IllegalStateException("outcome of a call for another prefix");
+	}
+
+	private PeerSync sync(VmId vm) {
+		return this.syncs.computeIfAbsent(vm, (id) -> new PeerSync(this.timing));
+	}
+
+	private void takeFromStore(MonotonicTime now, List<StoredValue> values, List<MembershipAction> actions) {
+		for (StoredValue value : values) {
+			if (isDocumentPath(value.key().path())) {
+				take(now, value.key(), value.value(), null, actions);
+			}
+		}
+	}
+
+	private void take(MonotonicTime now, StoreKey key, byte[] bytes, VmId from, List<MembershipAction> actions) {
+		Optional<SettingsDocument> document = this.format.read(key, bytes);
+		if (document.isEmpty()) {
+			actions.add(new DocumentRefused(key, (from != null) ? from.value() : STORE));
+		}
+		else if (this.documents.apply(document.get())) {
+			actions.add(new DocumentApplied(document.get()));
+			relay(now, document.get(), from, actions);
+		}
+	}
+
+	private void relay(MonotonicTime now, SettingsDocument document, VmId from, List<MembershipAction> actions) {
+		List<VmId> watchers = this.view.watchers(this.self.zone());
+		// A process that still starts takes what the others have; it has no news for
+		// them.
+		if (!this.ready || !watchers.contains(this.self.vm())) {
+			return;
+		}
+		if (watchers.get(0).equals(this.self.vm())) {
+			for (VmId peer : this.view.live(this.self.zone())) {
+				if (!peer.equals(this.self.vm()) && !peer.equals(from)) {
+					actions.add(new Send(peer, messageOf(document)));
+				}
+			}
+		}
+		this.notices.put(document.key().path(), document.revision().value());
+		if (this.noticeDue == null) {
+			this.noticeDue = now.plus(this.timing.noticeDelay());
+		}
+	}
+
+	private void sendNotices(MonotonicTime now, List<MembershipAction> actions) {
+		if (this.noticeDue == null || now.isBefore(this.noticeDue)) {
+			return;
+		}
+		FetchDocuments notice = new FetchDocuments(0, this.notices, false);
+		this.notices.clear();
+		this.noticeDue = null;
+		List<VmId> receivers = new ArrayList<>();
+		List<VmId> watchers = this.view.watchers(this.self.zone());
+		if (watchers.indexOf(this.self.vm()) > 0) {
+			receivers.addAll(this.view.live(this.self.zone()));
+			receivers.remove(this.self.vm());
+		}
+		for (AvailabilityZoneId zone : this.view.otherZones()) {
+			receivers.addAll(this.view.watchers(zone));
+		}
+		for (VmId receiver : receivers) {
+			actions.add(new Send(receiver, notice));
+		}
+	}
+
+	private boolean answer(VmId to, FetchDocuments fetch, List<MembershipAction> actions) {
+		int bytes = 0;
+		for (SettingsDocument document : this.documents.all()) {
+			long held = fetch.held().getOrDefault(document.key().path(), 0L);
+			if (DocumentSet.isIn(document.key(), fetch.buckets()) && document.revision().value() > held) {
+				bytes += document.content().array().length;
+				if (bytes > MAX_ANSWER_BYTES) {
+					return false;
+				}
+				actions.add(new Send(to, messageOf(document)));
+			}
+		}
+		return true;
+	}
+
+	private void fetch(MonotonicTime now, VmId from, PeerSync sync, List<MembershipAction> actions) {
+		sync.due(now)
+			.ifPresent((buckets) -> actions
+				.add(new Send(from, new FetchDocuments(buckets, this.documents.held(buckets), false))));
+	}
+
+	private void askPeers(MonotonicTime now) {
+		// The store usually answers first, and its set needs no other source.
+		if (now.isBefore(this.started.plus(this.timing.fetchInterval()))) {
+			return;
+		}
+		List<PeerInfo> peers = readyPeers();
+		List<PeerInfo> open = peers.stream().filter((peer) -> !sync(peer.vm()).isComplete()).toList();
+		if (open.size() < peers.size()) {
+			// With one whole set at hand, the others send only what is newer.
+			open.forEach((peer) -> sync(peer.vm()).want(SettingsDigest.ALL_BUCKETS));
+		}
+		else if (!open.isEmpty() && (this.nextAsk == null || !now.isBefore(this.nextAsk))) {
+			this.nextAsk = now.plus(this.timing.fetchInterval());
+			sync(open.get(this.asked++ % open.size()).vm()).want(SettingsDigest.ALL_BUCKETS);
+		}
+	}
+
+	private List<PeerInfo> readyPeers() {
+		return this.view.peers()
+			.stream()
+			.filter((peer) -> peer.state() == PeerState.LIVE && peer.settingsReady())
+			.toList();
+	}
+
+	private void checkReady(MonotonicTime now, List<MembershipAction> actions) {
+		if (this.ready) {
+			return;
+		}
+		boolean fromStore = this.watches.stream().allMatch(StoreWatch::isListed);
+		if (fromStore || isCompleteFromPeers(now)) {
+			this.ready = true;
+			actions.add(new SettingsReady(fromStore));
+		}
+	}
+
+	private boolean isCompleteFromPeers(MonotonicTime now) {
+		if (this.started == null || now.isBefore(this.started.plus(this.timing.startupPeerWait()))) {
+			return false;
+		}
+		List<PeerInfo> peers = readyPeers();
+		return !peers.isEmpty() && peers.stream().allMatch((peer) -> sync(peer.vm()).isComplete());
+	}
+
+	private static Document messageOf(SettingsDocument document) {
+		return new Document(document.key().path(), document.revision(), document.content());
+	}
+
+	private static boolean isDocumentPath(String path) {
+		return path.equals(PLATFORM.path())
+				|| (path.startsWith(TEAMS.path()) && path.indexOf('/', TEAMS.path().length()) < 0);
+	}
+
+}
--- /dev/null
+++ b/settings/src/main/java/io/lentilstream/settings/schema/SettingsMistake.java
@@ -0,0 +1,17 @@
+package io.lentilstream.settings.schema;
+
+/**
+ * Describes one mistake in settings.
+ *
+ * @param path the path
+ * @param found what was found; never a secret
+ * @param expected what is expected
+ */
+public record SettingsMistake(String path, String found, String expected) {
+
+	@Override
+	public String toString() {
+		return this.path + ": found " + this.found + ", expected " + this.expected;
+	}
+
+}
