Add shard ownership, the shard log and the records of requests

Change: ShardOwnership, ShardLog and RequestRecords with their store records, actions and first tests; module requests depends on platform; NotRunReason has CANCELLED for requests that are cancelled before they run.

--- a/model/src/main/java/io/lentilstream/model/NotRunReason.java
+++ b/model/src/main/java/io/lentilstream/model/NotRunReason.java
@@ -30,6 +30,8 @@
 	OWNER_UNAVAILABLE,
 
 	/** This entry VM shuts down. */
-	SHUTTING_DOWN
+	SHUTTING_DOWN,
+	/** The caller or an operator cancelled the request before it ran. */
+	CANCELLED
 
 }
--- /dev/null
+++ b/requests/src/main/java/io/lentilstream/requests/records/LiveRecord.java
@@ -0,0 +1,214 @@
+package io.lentilstream.requests.records;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.lentilstream.model.EndpointId;
+import io.lentilstream.model.KindName;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.RequestId;
+import io.lentilstream.model.RequestOutcome;
+
+/**
+ * Is one record in memory: its durable state, and what this owner does about it now. The
+ * durable state changes only by {@link #apply}, both after a commit and at a recovery.
+ */
+final class LiveRecord {
+
+	private static final byte[] NONE = new byte[0];
+
+	final RecordKey key;
+
+	KindName kind;
+
+	byte[] digest;
+
+	byte[] body;
+
+	Phase phase = Phase.NEW;
+
+	EndpointId endpoint;
+
+	RequestId attempt;
+
+	RequestOutcome outcome;
+
+	boolean cancelRequested;
+
+	MonotonicTime keepUntil;
+
+	Activity activity = Activity.NONE;
+
+	MonotonicTime retryAt;
+
+	MonotonicTime giveUpAt;
+
+	PendingChange pending;
+
+	PendingChange unsaved;
+
+	Timer timer;
+
+	boolean wantMissed;
+
+	boolean cancelMissed;
+
+	LiveRecord(RecordKey key) {
+		this.key = key;
+	}
+
+	void apply(RecordEntry entry, MonotonicTime now) {
+		if (entry instanceof RecordEntry.Accepted accepted) {
+			this.kind = accepted.kind();
+			this.digest = accepted.digest();
+			this.body = accepted.body();
+			this.phase = Phase.ACCEPTED;
+			this.endpoint = null;
+			this.attempt = null;
+			this.outcome = null;
+			this.cancelRequested = false;
+			this.keepUntil = now.plusMillis(accepted.keepMillis());
+		}
+		else if (entry instanceof RecordEntry.Dispatching dispatching) {
+			this.phase = Phase.DISPATCHING;
+			this.endpoint = dispatching.endpoint();
+			this.attempt = dispatching.attempt();
+		}
+		else if (entry instanceof RecordEntry.Returned) {
+			this.phase = Phase.ACCEPTED;
+			this.endpoint = null;
+			this.attempt = null;
+		}
+		else if (entry instanceof RecordEntry.CancelRequested) {
+			this.cancelRequested = true;
+		}
+		else if (entry instanceof RecordEntry.Answered answered) {
+			RequestOutcome.Answered result = new RequestOutcome.Answered(answered.status(), answered.contentType(),
+					answered.body());
+			settle(Phase.ANSWERED, result, now.plusMillis(answered.keepMillis()));
+		}
+		else if (entry instanceof RecordEntry.NotRun notRun) {
+			settle(Phase.NOT_RUN, new RequestOutcome.NotRun(notRun.reason(), 0), now.plusMillis(notRun.keepMillis()));
+		}
+		else if (entry instanceof RecordEntry.Unknown unknown) {
+			this.endpoint = unknown.endpoint();
+			this.attempt = unknown.attempt();
+			settle(Phase.UNKNOWN, new RequestOutcome.Unknown(unknown.attempt()), now.plusMillis(unknown.keepMillis()));
+		}
+	}
+
+	/**
+	 * Returns the entries that lead to the durable state.
+	 * @param now the present time
+	 * @return the entries
+	 */
+	List<RecordEntry> asEntries(MonotonicTime now) {
+		List<RecordEntry> entries = new ArrayList<>();
+		if (this.phase == Phase.NEW) {
+			return entries;
+		}
+		long keepMillis = keepMillis(now);
+		entries.add(new RecordEntry.Accepted(this.key, this.kind, this.digest, this.body, keepMillis));
+		switch (this.phase) {
+			case DISPATCHING -> entries.add(new RecordEntry.Dispatching(this.key, this.endpoint, this.attempt));
+			case ANSWERED -> {
+				RequestOutcome.Answered answer = (RequestOutcome.Answered) this.outcome;
+				entries.add(new RecordEntry.Answered(this.key, answer.status(), answer.contentType(), answer.body(),
+						keepMillis));
+			}
+			case NOT_RUN -> entries
+				.add(new RecordEntry.NotRun(this.key, ((RequestOutcome.NotRun) this.outcome).reason(), keepMillis));
+			case UNKNOWN -> entries.add(new RecordEntry.Unknown(this.key, this.endpoint, this.attempt, keepMillis));
+			default -> {
+			}
+		}
+		if (this.cancelRequested) {
+			entries.add(new RecordEntry.CancelRequested(this.key));
+		}
+		return entries;
+	}
+
+	long keepMillis(MonotonicTime now) {
+		return Math.max(0, now.millisUntil(this.keepUntil));
+	}
+
+	long storedBytes() {
+		long answer = (this.outcome instanceof RequestOutcome.Answered answered) ? answered.body().length : 0;
+		return this.body.length + answer;
+	}
+
+	boolean isSettled() {
+		return this.phase == Phase.ANSWERED || this.phase == Phase.NOT_RUN || this.phase == Phase.UNKNOWN;
+	}
+
+	private void settle(Phase settledPhase, RequestOutcome settledOutcome, MonotonicTime keep) {
+		this.phase = settledPhase;
+		this.outcome = settledOutcome;
+		this.keepUntil = keep;
+		this.body = NONE;
+	}
+
+	boolean isChangeDue(MonotonicTime now) {
+		if (this.unsaved != null) {
+			return true;
+		}
+		return this.phase != Phase.DISPATCHING && !now.isBefore(this.keepUntil);
+	}
+
+	/**
+	 * Returns when something is to be done without an input.
+	 * @return the time, or {@code null} if nothing is due
+	 */
+	MonotonicTime dueAt() {
+		if (this.pending != null || this.phase == Phase.NEW) {
+			return null;
+		}
+		if (this.unsaved != null || this.activity == Activity.LOOKING_UP || this.activity == Activity.SEALING) {
+			return this.retryAt;
+		}
+		if (this.phase == Phase.DISPATCHING) {
+			return null;
+		}
+		return (this.retryAt != null && this.retryAt.isBefore(this.keepUntil)) ? this.retryAt : this.keepUntil;
+	}
+
+	enum Phase {
+
+		NEW, ACCEPTED, DISPATCHING, ANSWERED, NOT_RUN, UNKNOWN
+
+	}
+
+	enum Activity {
+
+		NONE, WAITING, SENDING, LOOKING_UP, SEALING
+
+	}
+
+	/**
+	 * Is the place of a record in the order of times at which something is due.
+	 *
+	 * @param time the time
+	 * @param number makes equal times distinct
+	 * @param record the record
+	 */
+	record Timer(MonotonicTime time, long number, LiveRecord record) implements Comparable<Timer> {
+
+		@Override
+		public int compareTo(Timer other) {
+			int order = this.time.compareTo(other.time);
+			return (order != 0) ? order : Long.compare(this.number, other.number);
+		}
+
+	}
+
+	/**
+	 * Is a change that waits for its entries to be durable.
+	 *
+	 * @param step the id of the step
+	 * @param entries the entries
+	 * @param actions the actions after the commit, kept for a second try
+	 */
+	record PendingChange(long step, List<RecordEntry> entries, List<RecordAction> actions) {
+	}
+
+}
--- /dev/null
+++ b/shards/src/main/java/io/lentilstream/shards/log/ShardLog.java
@@ -0,0 +1,468 @@
+package io.lentilstream.shards.log;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
+
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.platform.ListOutcome;
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.shards.SettledWrite;
+
+/**
+ * Writes and recovers the log of one shard under one epoch. Entries of many appends are
+ * written as one record; one commit is in flight at a time. A record takes the next slot
+ * of the ring by compare-and-swap, so a later owner's marker stops this log. An instance
+ * starts with the recovery; appends are refused until {@link LogAction.Recovered}. All
+ * methods are thread-safe and return at once.
+ */
+public final class ShardLog {
+
+	/**
+	 * Least bytes of entries between two snapshots, which spares small shards.
+	 */
+	private static final long MIN_SNAPSHOT_DISTANCE_BYTES = 1024 * 1024;
+
+	/**
+	 * A snapshot follows after this many times its size was logged, so that snapshots add
+	 * at most a quarter to the bytes written.
+	 */
+	private static final long SNAPSHOT_DISTANCE_FACTOR = 4;
+
+	private final Object lock = new Object();
+
+	private final ShardLogSettings settings;
+
+	private final LogKeys keys;
+
+	private final Epoch epoch;
+
+	private final WriteBudget budget;
+
+	private final Deque<Append> queue = new ArrayDeque<>();
+
+	private final Map<Long, CallKind> calls = new HashMap<>();
+
+	private final List<Map<Integer, Long>> chunkVersions = List.of(new HashMap<>(), new HashMap<>());
+
+	private State state = State.RECOVERING;
+
+	private LogRecovery recovery;
+
+	private long[] slotVersions;
+
+	private long lastSequence;
+
+	private SnapshotHead head;
+
+	private long headVersion;
+
+	private long bytesSinceSnapshot;
+
+	private boolean snapshotRequested;
+
+	private SnapshotWriter snapshotWriter;
+
+	private SettledWrite commit;
+
+	private List<Append> committing = List.of();
+
+	private long queuedBytes;
+
+	private long nextId = 1;
+
+	/**
+	 * Creates the log of a shard that was just taken over.
+	 * @param settings the limits; the number of slots must be that of all earlier owners
+	 * @param shard the shard
+	 * @param epoch the epoch of this owner; each epoch recovers the log once
+	 * @param now the present time
+	 */
+	public ShardLog(ShardLogSettings settings, ShardId shard, Epoch epoch, MonotonicTime now) {
+		this.settings = settings;
+		this.keys = new LogKeys(shard);
+		this.epoch = epoch;
+		this.budget = new WriteBudget(settings, now);
+		this.recovery = new LogRecovery(settings, this.keys, epoch, now);
+	}
+
+	/**
+	 * Queues entries to be written in one record, after those of earlier appends.
+	 * @param now the present time
+	 * @param entries the entries; the caller must not change the bytes
+	 * @param token returned with {@link LogAction.Committed} or {@link LogAction.Refused}
+	 * @return the actions
+	 */
+	public List<LogAction> append(MonotonicTime now, List<byte[]> entries, long token) {
+		synchronized (this.lock) {
+			List<LogAction> actions = new ArrayList<>();
+			int bytes = 0;
+			for (byte[] entry : entries) {
+				bytes += entry.length + ShardLogSettings.ENTRY_OVERHEAD_BYTES;
+			}
+			if (this.state != State.OPEN) {
+				actions.add(new LogAction.Refused(token, LogAction.RefusalReason.NOT_OPEN));
+			}
+			else if (bytes > this.settings.maxCommitBytes()) {
+				actions.add(new LogAction.Refused(token, LogAction.RefusalReason.TOO_LARGE));
+			}
+			else if (this.queuedBytes + bytes > this.settings.maxQueuedBytes()) {
+				actions.add(new LogAction.Refused(token, LogAction.RefusalReason.QUEUE_FULL));
+			}
+			else {
+				this.queue.add(new Append(List.copyOf(entries), token, bytes));
+				this.queuedBytes += bytes;
+			}
+			return advance(now, actions);
+		}
+	}
+
+	/**
+	 * Carries out what is due. The first call starts the recovery.
+	 * @param now the present time
+	 * @return the actions
+	 */
+	public List<LogAction> tick(MonotonicTime now) {
+		synchronized (this.lock) {
+			return advance(now, new ArrayList<>());
+		}
+	}
+
+	/**
+	 * Returns when {@link #tick} must be called next if nothing else happens.
+	 * @return the time, or empty while only outcomes are awaited
+	 */
+	public Optional<MonotonicTime> nextWakeUp() {
+		synchronized (this.lock) {
+			if (this.state == State.RECOVERING) {
+				return this.recovery.dueAt();
+			}
+			if (this.state == State.CLOSED) {
+				return Optional.empty();
+			}
+			Optional<MonotonicTime> commitAt = Optional.empty();
+			if (this.commit != null) {
+				commitAt = this.commit.dueAt();
+			}
+			else if (!this.queue.isEmpty() && hasFreeSlot()) {
+				commitAt = Optional.of(this.budget.nextCommitAt());
+			}
+			return Stream.of(commitAt, Optional.ofNullable(this.snapshotWriter).flatMap(SnapshotWriter::dueAt))
+				.flatMap(Optional::stream)
+				.min(Comparator.naturalOrder());
+		}
+	}
+
+	/**
+	 * Takes the snapshot that {@link LogAction.SnapshotNeeded} asked for. The bytes must
+	 * hold the effect of all entries committed up to the sequence number, and of no entry
+	 * that is not committed. A snapshot that was not asked for is ignored.
+	 * @param now the present time
+	 * @param sequence the sequence number of the last {@link LogAction.Committed} that
+	 * the bytes cover, or that of the request
+	 * @param bytes the snapshot
+	 * @return the actions
+	 */
+	public List<LogAction> snapshot(MonotonicTime now, long sequence, byte[] bytes) {
+		synchronized (this.lock) {
+			boolean wanted = this.state == State.OPEN && this.snapshotRequested && this.snapshotWriter == null;
+			if (wanted && sequence > this.head.sequence() && sequence <= this.lastSequence) {
+				int generation = LogKeys.otherGeneration(this.head.generation());
+				SnapshotHead next = SnapshotWriter.newHead(this.settings, this.epoch, sequence, generation, bytes);
+				this.bytesSinceSnapshot = 0;
+				this.snapshotWriter = new SnapshotWriter(now, this.settings, this.keys, next, bytes,
+						this.chunkVersions.get(generation), this.headVersion);
+			}
+			return advance(now, new ArrayList<>());
+		}
+	}
+
+	/**
+	 * Takes the outcome of a write.
+	 * @param now the present time
+	 * @param id the action id
+	 * @param outcome the outcome
+	 * @return the actions
+	 */
+	public List<LogAction> completed(MonotonicTime now, long id, WriteOutcome outcome) {
+		synchronized (this.lock) {
+			List<LogAction> actions = new ArrayList<>();
+			CallKind kind = this.calls.remove(id);
+			if (kind == CallKind.RECOVERY && this.state == State.RECOVERING) {
+				this.recovery.completed(now, outcome);
+			}
+			else if (kind == CallKind.COMMIT && this.state == State.OPEN) {
+				commitSettled(this.commit.completed(now, outcome), actions);
+			}
+			else if (kind == CallKind.SNAPSHOT && this.state == State.OPEN) {
+				snapshotSettled(this.snapshotWriter.completed(now, outcome), actions);
+			}
+			return advance(now, actions);
+		}
+	}
+
+	/**
+	 * Takes the outcome of a read.
+	 * @param now the present time
+	 * @param id the action id
+	 * @param outcome the outcome
+	 * @return the actions
+	 */
+	public List<LogAction> completed(MonotonicTime now, long id, ReadOutcome outcome) {
+		synchronized (this.lock) {
+			List<LogAction> actions = new ArrayList<>();
+			CallKind kind = this.calls.remove(id);
+			if (kind == CallKind.RECOVERY && this.state == State.RECOVERING) {
+				this.recovery.completed(now, outcome);
+			}
+			else if (kind == CallKind.COMMIT && this.state == State.OPEN) {
+				commitSettled(this.commit.completed(now, outcome), actions);
+			}
+			else if (kind == CallKind.SNAPSHOT && this.state == State.OPEN) {
+				snapshotSettled(this.snapshotWriter.completed(now, outcome), actions);
+			}
+			return advance(now, actions);
+		}
+	}
+
+	/**
+	 * Takes the outcome of a list.
+	 * @param now the present time
+	 * @param id the action id
+	 * @param outcome the outcome
+	 * @return the actions
+	 */
+	public List<LogAction> completed(MonotonicTime now, long id, ListOutcome outcome) {
+		synchronized (this.lock) {
+			if (this.calls.remove(id) == CallKind.RECOVERY && this.state == State.RECOVERING) {
+				this.recovery.completed(now, outcome);
+			}
+			return advance(now, new ArrayList<>());
+		}
+	}
+
+	/**
+	 * Tells whether no append waits or is being written, as a release of the shard needs.
+	 * @return whether the log is idle
+	 */
+	public boolean isIdle() {
+		synchronized (this.lock) {
+			return this.state != State.RECOVERING && this.queue.isEmpty() && this.commit == null;
+		}
+	}
+
+	/**
+	 * Tells whether appends are taken.
+	 * @return whether the log is recovered and neither fenced nor failed
+	 */
+	public boolean isOpen() {
+		synchronized (this.lock) {
+			return this.state == State.OPEN;
+		}
+	}
+
+	/**
+	 * Returns the entry bytes that wait or are being written.
+	 * @return the bytes, with a few per entry for its encoding
+	 */
+	public long queuedBytes() {
+		synchronized (this.lock) {
+			return this.queuedBytes;
+		}
+	}
+
+	static LogAction toAction(long id, SettledWrite.Call call) {
+		if (call instanceof SettledWrite.Call.Write write) {
+			return new LogAction.Write(id, write.write());
+		}
+		return new LogAction.Read(id, ((SettledWrite.Call.Read) call).key());
+	}
+
+	private List<LogAction> advance(MonotonicTime now, List<LogAction> actions) {
+		if (this.state == State.RECOVERING) {
+			if (this.recovery.isOver()) {
+				finishRecovery(actions);
+			}
+			else {
+				this.recovery.next(now, this.nextId).ifPresent((action) -> {
+					this.calls.put(this.nextId++, CallKind.RECOVERY);
+					if (action instanceof LogAction.Write) {
+						this.budget.writeSent(now);
+					}
+					actions.add(action);
+				});
+			}
+		}
+		if (this.state != State.OPEN) {
+			return actions;
+		}
+		startCommit(now);
+		if (this.commit != null) {
+			send(now, CallKind.COMMIT, this.commit.next(now), actions);
+		}
+		if (this.snapshotWriter != null) {
+			send(now, CallKind.SNAPSHOT, this.snapshotWriter.next(now), actions);
+		}
+		requestSnapshot(actions);
+		return actions;
+	}
+
+	private void send(MonotonicTime now, CallKind kind, Optional<SettledWrite.Call> call, List<LogAction> actions) {
+		if (call.isEmpty()) {
+			return;
+		}
+		long id = this.nextId++;
+		this.calls.put(id, kind);
+		if (call.get() instanceof SettledWrite.Call.Write) {
+			this.budget.writeSent(now);
+		}
+		actions.add(toAction(id, call.get()));
+	}
+
+	private void finishRecovery(List<LogAction> actions) {
+		if (this.recovery.isFenced()) {
+			this.state = State.CLOSED;
+			actions.add(new LogAction.Fenced(List.of(), List.of()));
+			return;
+		}
+		if (this.recovery.failure().isPresent()) {
+			this.state = State.CLOSED;
+			actions.add(new LogAction.Failed(this.recovery.failure().get()));
+			return;
+		}
+		this.state = State.OPEN;
+		this.slotVersions = this.recovery.slotVersions();
+		this.lastSequence = this.recovery.lastSequence();
+		this.head = this.recovery.head();
+		this.headVersion = this.recovery.headVersion();
+		this.chunkVersions.get(this.head.generation()).putAll(this.recovery.chunkVersions());
+		List<byte[]> entries = this.recovery.entries();
+		entries.forEach((entry) -> this.bytesSinceSnapshot += entry.length);
+		actions.add(new LogAction.Recovered(this.recovery.snapshot(), entries));
+		this.recovery = null;
+	}
+
+	private void startCommit(MonotonicTime now) {
+		boolean due = !now.isBefore(this.budget.nextCommitAt());
+		if (this.commit != null || this.queue.isEmpty() || !due || !hasFreeSlot()) {
+			return;
+		}
+		List<Append> group = new ArrayList<>();
+		List<byte[]> entries = new ArrayList<>();
+		int bytes = 0;
+		while (!this.queue.isEmpty() && bytes + this.queue.peek().bytes() <= this.settings.maxCommitBytes()) {
+			Append append = this.queue.remove();
+			bytes += append.bytes();
+			group.add(append);
+			entries.addAll(append.entries());
+		}
+		long sequence = this.lastSequence + 1;
+		int slot = (int) (sequence % this.settings.slots());
+		this.committing = group;
+		this.commit = new SettledWrite(now, this.keys.slot(slot),
+				new LogRecord(this.epoch, sequence, false, entries).encode(), this.slotVersions[slot], Optional.empty(),
+				this.settings.retryInterval());
+		this.budget.commitStarted(now);
+	}
+
+	/**
+	 * Tells whether the next record may take its slot: the record there is covered by a
+	 * snapshot, and the slots reserved for markers stay free.
+	 * @return whether a commit may start
+	 */
+	private boolean hasFreeSlot() {
+		return this.lastSequence + 1 - this.head.sequence() <= this.settings.slots() - this.settings.reservedSlots();
+	}
+
+	private void commitSettled(SettledWrite.Result result, List<LogAction> actions) {
+		if (result instanceof SettledWrite.Result.Open) {
+			return;
+		}
+		if (result instanceof SettledWrite.Result.Lost) {
+			close(actions);
+			return;
+		}
+		this.lastSequence++;
+		this.slotVersions[(int) (this.lastSequence % this.settings.slots())] = ((SettledWrite.Result.Applied) result)
+			.version();
+		for (Append append : this.committing) {
+			this.queuedBytes -= append.bytes();
+			this.bytesSinceSnapshot += append.bytes();
+		}
+		actions.add(new LogAction.Committed(this.lastSequence, tokens(this.committing)));
+		this.commit = null;
+		this.committing = List.of();
+	}
+
+	private void snapshotSettled(SnapshotWriter.State result, List<LogAction> actions) {
+		switch (result) {
+			case RUNNING -> {
+				return;
+			}
+			case FENCED -> close(actions);
+			case FAILED -> {
+				actions.add(new LogAction.Failed(this.snapshotWriter.failure()));
+				close(actions);
+			}
+			case DONE -> {
+				this.head = this.snapshotWriter.head();
+				this.headVersion = this.snapshotWriter.newHeadVersion();
+				this.snapshotRequested = false;
+			}
+		}
+		this.snapshotWriter = null;
+	}
+
+	private void requestSnapshot(List<LogAction> actions) {
+		if (this.snapshotRequested) {
+			return;
+		}
+		long uncovered = this.lastSequence - this.head.sequence();
+		long usable = this.settings.slots() - this.settings.reservedSlots();
+		long distance = Math.max(MIN_SNAPSHOT_DISTANCE_BYTES, SNAPSHOT_DISTANCE_FACTOR * this.head.length());
+		if (uncovered * 4 >= usable * 3 || this.bytesSinceSnapshot >= distance) {
+			this.snapshotRequested = true;
+			actions.add(new LogAction.SnapshotNeeded(this.lastSequence));
+		}
+	}
+
+	private void close(List<LogAction> actions) {
+		this.state = State.CLOSED;
+		actions.add(new LogAction.Fenced(tokens(this.committing), tokens(this.queue)));
+		this.commit = null;
+		this.committing = List.of();
+		this.queue.clear();
+		this.queuedBytes = 0;
+	}
+
+	private static List<Long> tokens(Iterable<Append> appends) {
+		List<Long> tokens = new ArrayList<>();
+		appends.forEach((append) -> tokens.add(append.token()));
+		return tokens;
+	}
+
+	private record Append(List<byte[]> entries, long token, int bytes) {
+	}
+
+	private enum State {
+
+		RECOVERING, OPEN, CLOSED
+
+	}
+
+	private enum CallKind {
+
+		RECOVERY, COMMIT, SNAPSHOT
+
+	}
+
+}
--- /dev/null
+++ b/shards/src/main/java/io/lentilstream/shards/log/SnapshotWriter.java
@@ -0,0 +1,152 @@
+package io.lentilstream.shards.log;
+
+import java.util.Arrays;
+import java.util.Map;
+import java.util.Optional;
+
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.StoreWrite;
+import io.lentilstream.platform.StoredValue;
+import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.shards.RecordFormatException;
+import io.lentilstream.shards.SettledWrite;
+
+/**
+ * Writes one snapshot: the chunks of the generation that the head does not name, then the
+ * head. A crash in between leaves the earlier snapshot as it was.
+ */
+final class SnapshotWriter {
+
+	private final ShardLogSettings settings;
+
+	private final LogKeys keys;
+
+	private final byte[] bytes;
+
+	private final SnapshotHead head;
+
+	private final Map<Integer, Long> chunkVersions;
+
+	private final long headVersion;
+
+	private int index;
+
+	private SettledWrite write;
+
+	private State state = State.RUNNING;
+
+	private long newHeadVersion;
+
+	private String failure;
+
+	SnapshotWriter(MonotonicTime now, ShardLogSettings settings, LogKeys keys, SnapshotHead head, byte[] bytes,
+			Map<Integer, Long> chunkVersions, long headVersion) {
+		this.settings = settings;
+		this.keys = keys;
+		this.bytes = bytes;
+		this.head = head;
+		this.chunkVersions = chunkVersions;
+		this.headVersion = headVersion;
+		startNext(now);
+	}
+
+	static SnapshotHead newHead(ShardLogSettings settings, Epoch epoch, long sequence, int generation, byte[] bytes) {
+		int chunks = Math.max(1, (bytes.length + settings.chunkBytes() - 1) / settings.chunkBytes());
+		return new SnapshotHead(epoch, sequence, generation, chunks, bytes.length, LogRecovery.checksum(bytes));
+	}
+
+	Optional<SettledWrite.Call> next(MonotonicTime now) {
+		return this.write.next(now);
+	}
+
+	Optional<MonotonicTime> dueAt() {
+		return this.write.dueAt();
+	}
+
+	State completed(MonotonicTime now, WriteOutcome outcome) {
+		return settled(now, this.write.completed(now, outcome));
+	}
+
+	State completed(MonotonicTime now, ReadOutcome outcome) {
+		return settled(now, this.write.completed(now, outcome));
+	}
+
+	SnapshotHead head() {
+		return this.head;
+	}
+
+	long newHeadVersion() {
+		return this.newHeadVersion;
+	}
+
+	String failure() {
+		return this.failure;
+	}
+
+	private void startNext(MonotonicTime now) {
+		if (this.index == this.head.chunks()) {
+			this.write = new SettledWrite(now, this.keys.head(), this.head.encode(), this.headVersion, Optional.empty(),
+					this.settings.retryInterval());
+			return;
+		}
+		int from = this.index * this.settings.chunkBytes();
+		int to = Math.min(this.bytes.length, from + this.settings.chunkBytes());
+		byte[] chunk = new SnapshotChunk(this.head.epoch(), this.head.sequence(), this.index,
+				Arrays.copyOfRange(this.bytes, from, to))
+			.encode();
+		this.write = new SettledWrite(now, this.keys.chunk(this.head.generation(), this.index), chunk,
+				this.chunkVersions.getOrDefault(this.index, StoreWrite.ABSENT), Optional.empty(),
+				this.settings.retryInterval());
+	}
+
+	private State settled(MonotonicTime now, SettledWrite.Result result) {
+		boolean isHead = this.index == this.head.chunks();
+		if (result instanceof SettledWrite.Result.Applied applied) {
+			if (isHead) {
+				this.newHeadVersion = applied.version();
+				this.state = State.DONE;
+				return this.state;
+			}
+			this.chunkVersions.put(this.index, applied.version());
+			this.index++;
+			startNext(now);
+		}
+		else if (result instanceof SettledWrite.Result.Lost lost) {
+			if (isHead) {
+				this.state = State.FENCED;
+				return this.state;
+			}
+			adopt(now, lost.current());
+		}
+		return this.state;
+	}
+
+	// Chunks of the generation that the head does not name are free to overwrite, unless
+	// a later owner wrote them.
+	private void adopt(MonotonicTime now, Optional<StoredValue> current) {
+		try {
+			if (current.isPresent()) {
+				SnapshotChunk chunk = SnapshotChunk.decode(current.get().value());
+				if (chunk.epoch().compareTo(this.head.epoch()) > 0) {
+					this.state = State.FENCED;
+					return;
+				}
+			}
+			this.chunkVersions.put(this.index, current.map(StoredValue::version).orElse(StoreWrite.ABSENT));
+			startNext(now);
+		}
+		catch (RecordFormatException ex) {
+			this.failure = ex.getMessage();
+			this.state = State.FAILED;
+		}
+	}
+
+	enum State {
+
+		RUNNING, DONE, FENCED, FAILED
+
+	}
+
+}
--- /dev/null
+++ b/shards/src/main/java/io/lentilstream/shards/log/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Writes and recovers the log of one shard: group commit, fencing and snapshots.
+ */
+package io.lentilstream.shards.log;
--- /dev/null
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/EntryRecord.java
@@ -0,0 +1,55 @@
+package io.lentilstream.shards.ownership;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.lentilstream.platform.LeaseId;
+import io.lentilstream.shards.RecordFormat;
+import io.lentilstream.shards.RecordFormatException;
+
+/**
+ * Is the value of a live entry VM's key, which the store deletes with the VM's lease.
+ *
+ * @param lease the lease of the process
+ * @param leaving whether the process shuts down and takes no more shards
+ * @param scopes the scopes whose shards the VM shares
+ */
+public record EntryRecord(LeaseId lease, boolean leaving, List<String> scopes) {
+
+	private static final int FORMAT = 1;
+
+	/**
+	 * Encodes the record.
+	 * @return the bytes
+	 */
+	public byte[] encode() {
+		return RecordFormat.encode(FORMAT, (packer) -> {
+			packer.packLong(this.lease.value());
+			packer.packBoolean(this.leaving);
+			packer.packArrayHeader(this.scopes.size());
+			for (String scope : this.scopes) {
+				packer.packString(scope);
+			}
+		});
+	}
+
+	/**
+	 * Decodes a record.
+	 * @param bytes the bytes
+	 * @return the record
+	 * @throws RecordFormatException if the version is unknown or the bytes are damaged
+	 */
+	public static EntryRecord decode(byte[] bytes) throws RecordFormatException {
+		return RecordFormat.decode("entry record", FORMAT, bytes, (unpacker) -> {
+			LeaseId lease = new LeaseId(unpacker.unpackLong());
+			boolean leaving = unpacker.unpackBoolean();
+			int count = unpacker.unpackArrayHeader();
+			List<String> scopes = new ArrayList<>();
+			for (int i = 0; i < count; i++) {
+				scopes.add(unpacker.unpackString());
+			}
+			return new EntryRecord(lease, leaving, scopes);
+		});
+	}
+
+}
--- /dev/null
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Decides which shards this entry VM owns, under one store lease per process.
+ */
+package io.lentilstream.shards.ownership;
--- /dev/null
+++ b/shards/src/test/java/io/lentilstream/shards/log/LogHarness.java
@@ -0,0 +1,146 @@
+package io.lentilstream.shards.log;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.function.Predicate;
+
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.shards.FakeStore;
+
+/**
+ * Runs one shard log against the fake store and collects its events.
+ */
+final class LogHarness {
+
+	static final ShardId SHARD = new ShardId("zone-1", 0);
+
+	final FakeStore store;
+
+	final ShardLog log;
+
+	final List<LogAction> events = new ArrayList<>();
+
+	final List<String> committed = new ArrayList<>();
+
+	final Deque<LogAction> calls = new ArrayDeque<>();
+
+	long writes;
+
+	long nextToken = 1;
+
+	private final List<String> appended = new ArrayList<>();
+
+	MonotonicTime now = MonotonicTime.ofMillis(0);
+
+	LogHarness(FakeStore store, ShardLogSettings settings, long epoch) {
+		this.store = store;
+		this.log = new ShardLog(settings, SHARD, new Epoch(epoch), this.now);
+	}
+
+	LogHarness recover() {
+		take(this.log.tick(this.now));
+		run();
+		return this;
+	}
+
+	void append(String... entries) {
+		for (String entry : entries) {
+			this.appended.add(entry);
+			take(this.log.append(this.now, List.of(bytes(entry)), this.nextToken++));
+		}
+	}
+
+	void take(List<LogAction> actions) {
+		for (LogAction action : actions) {
+			if (isCall(action)) {
+				this.calls.add(action);
+				continue;
+			}
+			this.events.add(action);
+			if (action instanceof LogAction.Committed done) {
+				done.tokens().forEach((token) -> this.committed.add(this.appended.get((int) (token - 1))));
+			}
+		}
+	}
+
+	/**
+	 * Carries out all calls, and ticks until nothing is due within the next second.
+	 */
+	void run() {
+		MonotonicTime end = this.now.plusMillis(1_000);
+		while (true) {
+			while (!this.calls.isEmpty()) {
+				step();
+			}
+			MonotonicTime due = this.log.nextWakeUp().orElse(null);
+			if (due == null || due.isAfter(end)) {
+				return;
+			}
+			this.now = due.isAfter(this.now) ? due : this.now;
+			take(this.log.tick(this.now));
+		}
+	}
+
+	void step() {
+		complete(this.calls.remove());
+	}
+
+	void complete(LogAction action) {
+		if (action instanceof LogAction.Write write) {
+			this.writes++;
+			reply(write, this.store.write(write.write()));
+		}
+		else if (action instanceof LogAction.Read read) {
+			take(this.log.completed(this.now, read.id(), this.store.read(read.key())));
+		}
+		else if (action instanceof LogAction.ListKeys list) {
+			take(this.log.completed(this.now, list.id(), this.store.list(list.prefix())));
+		}
+	}
+
+	void reply(LogAction.Write write, WriteOutcome outcome) {
+		take(this.log.completed(this.now, write.id(), outcome));
+	}
+
+	LogAction.Write nextWrite() {
+		return (LogAction.Write) this.calls.remove();
+	}
+
+	List<String> recovered() {
+		return this.events.stream()
+			.filter(LogAction.Recovered.class::isInstance)
+			.map(LogAction.Recovered.class::cast)
+			.flatMap((event) -> java.util.stream.Stream.concat(
+					event.snapshot().map(LogHarness::lines).orElse(List.of()).stream(),
+					event.entries().stream().map(LogHarness::text)))
+			.toList();
+	}
+
+	boolean has(Predicate<LogAction> event) {
+		return this.events.stream().anyMatch(event);
+	}
+
+	static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	static String text(byte[] bytes) {
+		return new String(bytes, StandardCharsets.UTF_8);
+	}
+
+	static List<String> lines(byte[] bytes) {
+		return (bytes.length == 0) ? List.of() : List.of(text(bytes).split("\n"));
+	}
+
+	private static boolean isCall(LogAction action) {
+		return action instanceof LogAction.Write || action instanceof LogAction.Read
+				|| action instanceof LogAction.ListKeys;
+	}
+
+}
--- /dev/null
+++ b/shards/src/test/java/io/lentilstream/shards/ownership/OwnershipCluster.java
@@ -0,0 +1,204 @@
+package io.lentilstream.shards.ownership;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.LeaseOutcome;
+import io.lentilstream.platform.ListOutcome;
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.shards.FakeStore;
+
+/**
+ * Runs the ownership of several entry VMs against one fake store.
+ */
+final class OwnershipCluster {
+
+	private static final long STEP_MILLIS = 100;
+
+	final FakeStore store = new FakeStore();
+
+	final ShardScope scope;
+
+	final Map<String, Vm> vms = new TreeMap<>();
+
+	MonotonicTime now = MonotonicTime.ofMillis(0);
+
+	OwnershipCluster(int shards) {
+		this.scope = new ShardScope("zone-1", shards);
+	}
+
+	Vm start(String name, double clockRate) {
+		Vm vm = new Vm(name, clockRate);
+		this.vms.put(name, vm);
+		return vm;
+	}
+
+	Vm start(String name) {
+		return start(name, 1);
+	}
+
+	void run(long millis) {
+		for (long i = 0; i < millis; i += STEP_MILLIS) {
+			this.now = this.now.plusMillis(STEP_MILLIS);
+			this.store.expire(this.now);
+			this.vms.values().forEach(Vm::run);
+			check();
+		}
+	}
+
+	/**
+	 * Checks that no two entry VMs may commit in one shard.
+	 */
+	void check() {
+		for (ShardId shard : this.scope.shardIds()) {
+			List<String> committing = this.vms.values()
+				.stream()
+				.filter((vm) -> vm.ownership.mayCommit(vm.time(), shard))
+				.map((vm) -> vm.name)
+				.toList();
+			if (committing.size() > 1) {
+				throw new AssertionError("shard " + shard + " at " + this.now + " has owners " + committing);
+			}
+		}
+	}
+
+	int owned(String name) {
+		return this.vms.get(name).ownership.ownedShards().size();
+	}
+
+	long ownedInTotal() {
+		return this.vms.values().stream().mapToLong((vm) -> vm.ownership.ownedShards().size()).sum();
+	}
+
+	static StoreKey owner(int index) {
+		return OwnershipKeys.owner(new ShardId("zone-1", index));
+	}
+
+	/**
+	 * Is one entry VM with its own clock and its connection to the store.
+	 */
+	final class Vm {
+
+		final String name;
+
+		final ShardOwnership ownership;
+
+		final List<OwnershipAction> events = new ArrayList<>();
+
+		final Deque<OwnershipAction> calls = new ArrayDeque<>();
+
+		private final double clockRate;
+
+		boolean paused;
+
+		boolean cutOff;
+
+		/** Applies the next write but loses its reply. */
+		boolean loseNextReply;
+
+		/** Loses the next write and its reply. */
+		boolean loseNextWrite;
+
+		long storeCalls;
+
+		Vm(String name, double clockRate) {
+			this.name = name;
+			this.clockRate = clockRate;
+			this.ownership = new ShardOwnership(OwnershipSettings.defaults(), new VmId(name),
+					List.of(OwnershipCluster.this.scope), time());
+		}
+
+		MonotonicTime time() {
+			return new MonotonicTime((long) (OwnershipCluster.this.now.nanos() * this.clockRate));
+		}
+
+		void run() {
+			if (this.paused) {
+				return;
+			}
+			take(this.ownership.tick(time()));
+			while (!this.calls.isEmpty()) {
+				step();
+			}
+		}
+
+		void take(List<OwnershipAction> actions) {
+			for (OwnershipAction action : actions) {
+				if (action instanceof OwnershipAction.PrepareRelease release) {
+					this.events.add(action);
+					take(this.ownership.readyToRelease(time(), release.shard(), true));
+				}
+				else if (isEvent(action)) {
+					this.events.add(action);
+				}
+				else {
+					this.calls.add(action);
+				}
+			}
+		}
+
+		void step() {
+			OwnershipAction call = this.calls.remove();
+			this.storeCalls++;
+			FakeStore store = OwnershipCluster.this.store;
+			MonotonicTime storeTime = OwnershipCluster.this.now;
+			if (call instanceof OwnershipAction.GrantLease grant) {
+				lease(grant.id(), this.cutOff ? null : store.grant(storeTime, grant.length().toMillis()));
+			}
+			else if (call instanceof OwnershipAction.RenewLease renew) {
+				lease(renew.id(), this.cutOff ? null : store.renew(storeTime, renew.lease()));
+			}
+			else if (call instanceof OwnershipAction.RevokeLease revoke) {
+				lease(revoke.id(), this.cutOff ? null : store.revoke(revoke.lease()));
+			}
+			else if (call instanceof OwnershipAction.WriteRecord write) {
+				write(write);
+			}
+			else if (call instanceof OwnershipAction.ReadRecord read) {
+				ReadOutcome outcome = this.cutOff ? new ReadOutcome.Unavailable("cut off") : store.read(read.key());
+				take(this.ownership.completed(time(), read.id(), outcome));
+			}
+			else if (call instanceof OwnershipAction.ListRecords list) {
+				ListOutcome outcome = this.cutOff ? new ListOutcome.Unavailable("cut off") : store.list(list.prefix());
+				take(this.ownership.completed(time(), list.id(), outcome));
+			}
+		}
+
+		private void lease(long id, LeaseOutcome outcome) {
+			LeaseOutcome reply = (outcome != null) ? outcome : new LeaseOutcome.Unavailable("cut off");
+			take(this.ownership.completed(time(), id, reply));
+		}
+
+		private void write(OwnershipAction.WriteRecord write) {
+			WriteOutcome outcome = new WriteOutcome.ReplyLost("timeout");
+			if (!this.cutOff && !this.loseNextWrite) {
+				WriteOutcome applied = OwnershipCluster.this.store.write(write.write());
+				outcome = this.loseNextReply ? outcome : applied;
+			}
+			this.loseNextReply = false;
+			this.loseNextWrite = false;
+			take(this.ownership.completed(time(), write.id(), outcome));
+		}
+
+		long count(Class<? extends OwnershipAction> type) {
+			return this.events.stream().filter(type::isInstance).count();
+		}
+
+		private static boolean isEvent(OwnershipAction action) {
+			return !(action instanceof OwnershipAction.GrantLease || action instanceof OwnershipAction.RenewLease
+					|| action instanceof OwnershipAction.RevokeLease || action instanceof OwnershipAction.WriteRecord
+					|| action instanceof OwnershipAction.ReadRecord || action instanceof OwnershipAction.ListRecords);
+		}
+
+	}
+
+}
