--- a/entry/src/main/java/io/lentilstream/entry/directory/EndpointPool.java
+++ b/entry/src/main/java/io/lentilstream/entry/directory/EndpointPool.java
@@ -102,7 +102,11 @@
 	 * @return the shards
 	 */
 	public synchronized List<ShardId> lingering() {
-		return this.shards.entrySet().stream().filter((entry) -> entry.getValue().lingering()).map(Map.Entry::getKey).toList();
+		return this.shards.entrySet()
+			.stream()
+			.filter((entry) -> entry.getValue().lingering())
+			.map(Map.Entry::getKey)
+			.toList();
 	}
 
 	/**
@@ -132,9 +136,9 @@
 		this.listed.forEach((id, entry) -> {
 			Ownership ownership = this.shards.get(this.shardMap.ofEndpoint(id));
 			if (ownership != null) {
-				owned.add(new OwnedEndpoint(id, new ServiceKey(entry.team().get(), entry.service().get()),
-						entry.slots(), entry.connections(), entry.status() == VmEntry.Status.LEAVING,
-						baseline(id, ownership)));
+				owned
+					.add(new OwnedEndpoint(id, new ServiceKey(entry.team().get(), entry.service().get()), entry.slots(),
+							entry.connections(), entry.status() == VmEntry.Status.LEAVING, baseline(id, ownership)));
 			}
 		});
 		return owned;
--- a/entry/src/main/java/io/lentilstream/entry/http/SettingsRoutes.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/SettingsRoutes.java
@@ -246,8 +246,7 @@
 				Optional.of(unknown.id().value()), java.util.OptionalLong.empty());
 	}
 
-	private <T> Object answer(Context context, CompletableFuture<QueryOutcome<T>> query,
-			Function<T, JsonNode> show) {
+	private <T> Object answer(Context context, CompletableFuture<QueryOutcome<T>> query, Function<T, JsonNode> show) {
 		query.thenAccept((outcome) -> {
 			if (outcome instanceof QueryOutcome.Found<T> found) {
 				HttpAnswers.sendJson(context, 200, show.apply(found.result()));
@@ -256,8 +255,8 @@
 				HttpAnswers.send(context, ProblemDetails.notFound("There is no " + missing.what() + "."));
 			}
 			else if (outcome instanceof QueryOutcome.Unavailable<T> unavailable) {
-				HttpAnswers.send(context, ProblemDetails.simple("unavailable", 503, "The store cannot be used",
-						unavailable.reason()));
+				HttpAnswers.send(context,
+						ProblemDetails.simple("unavailable", 503, "The store cannot be used", unavailable.reason()));
 			}
 			else {
 				AdministrationAccess.refuse(context);
--- a/entry/src/main/java/io/lentilstream/entry/http/WorkRoutes.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/WorkRoutes.java
@@ -73,11 +73,9 @@
 		String kind = context.path("kind").value();
 		if (!Identifiers.isValid(team) || !Identifiers.isValid(kind)
 				|| this.kinds.find(new TeamId(team), new KindName(kind)).isEmpty()) {
-			return HttpAnswers.send(context,
-					ProblemDetails.notFound(HttpMessages.UNKNOWN_KIND.formatted(team, kind)));
+			return HttpAnswers.send(context, ProblemDetails.notFound(HttpMessages.UNKNOWN_KIND.formatted(team, kind)));
 		}
-		return call(context,
-				new OwnerCall(operation, new TeamId(team), Optional.of(new KindName(kind)), key, body));
+		return call(context, new OwnerCall(operation, new TeamId(team), Optional.of(new KindName(kind)), key, body));
 	}
 
 	private Object job(Context context, OwnerCall.Operation operation) {
--- a/entry/src/main/java/io/lentilstream/entry/records/RecordShardDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/records/RecordShardDriver.java
@@ -46,8 +46,9 @@
 import io.lentilstream.shards.log.ShardLog;
 
 /**
- * Runs one owned request shard: recovers its records from the log, makes each step durable
- * and then carries out its actions. All state is used on the serial executor of the shard.
+ * Runs one owned request shard: recovers its records from the log, makes each step
+ * durable and then carries out its actions. All state is used on the serial executor of
+ * the shard.
  */
 public final class RecordShardDriver implements LogListener, AutoCloseable {
 
@@ -150,8 +151,7 @@
 			if (outcome.isPresent() && outcome.get() instanceof RequestOutcome.Unknown) {
 				step((now) -> this.records.askAgain(key), null);
 			}
-			caller.complete(
-					outcome.<WorkOutcome>map(WorkOutcome.Told::new).orElseGet(WorkOutcome.NotFound::new));
+			caller.complete(outcome.<WorkOutcome>map(WorkOutcome.Told::new).orElseGet(WorkOutcome.NotFound::new));
 		});
 		return caller;
 	}
--- a/entry/src/main/java/io/lentilstream/entry/requests/RequestDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/requests/RequestDriver.java
@@ -287,7 +287,8 @@
 			release(new AttemptResult.NotSent(this.attempt));
 		}
 
-		// The record decides about another attempt, so the scheduler gives the request up.
+		// The record decides about another attempt, so the scheduler gives the request
+		// up.
 		private void release(AttemptResult result) {
 			if (!this.freed.compareAndSet(false, true)) {
 				throw new IllegalStateException("a slot is freed twice");
--- a/entry/src/main/java/io/lentilstream/entry/shards/LogDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/LogDriver.java
@@ -22,8 +22,8 @@
 public final class LogDriver implements AutoCloseable {
 
 	/**
-	 * Entries of one step are split into appends of this many bytes, which leaves room for
-	 * the encoding within the largest commit.
+	 * Entries of one step are split into appends of this many bytes, which leaves room
+	 * for the encoding within the largest commit.
 	 */
 	public static final int MAX_APPEND_BYTES = 200_000;
 
--- a/entry/src/main/java/io/lentilstream/entry/shards/OwnershipDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/OwnershipDriver.java
@@ -180,8 +180,7 @@
 					() -> this.ownership.readyToRelease(this.clock.now(), release.shard(), nothingHeldBack)));
 		}
 		else if (action instanceof OwnershipAction.ShardLost lost) {
-			logger.atInfo()
-				.log(PREFIX + "lost shard %s of epoch %s: %s.", lost.shard(), lost.epoch(), lost.reason());
+			logger.atInfo().log(PREFIX + "lost shard %s of epoch %s: %s.", lost.shard(), lost.epoch(), lost.reason());
 			this.listener.lost(lost.shard(), lost.epoch());
 		}
 		else if (action instanceof OwnershipAction.ShardSuspended suspended) {
--- a/entry/src/main/java/io/lentilstream/entry/tasks/TaskShardDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/tasks/TaskShardDriver.java
@@ -44,7 +44,8 @@
 
 /**
  * Runs one owned worker shard: recovers its state from the log, makes each step durable
- * and then carries out its actions. All state is used on the serial executor of the shard.
+ * and then carries out its actions. All state is used on the serial executor of the
+ * shard.
  */
 public final class TaskShardDriver implements LogListener, AutoCloseable {
 
@@ -241,8 +242,7 @@
 		CompletableFuture<Optional<JobAnswer>> answer = new CompletableFuture<>();
 		this.serial.execute(() -> {
 			if (this.closed || this.shard == null || this.release != null || !this.log.acceptsNewWork()) {
-				answer.complete(
-						Optional.of(new JobAnswer.Refused(JobRefusal.STORE_UNAVAILABLE, RETRY_AFTER_MILLIS)));
+				answer.complete(Optional.of(new JobAnswer.Refused(JobRefusal.STORE_UNAVAILABLE, RETRY_AFTER_MILLIS)));
 				return;
 			}
 			this.callers.computeIfAbsent(key, (unused) -> new ArrayDeque<>()).add(answer);
