--- a/entry/src/main/java/io/lentilstream/entry/directory/EndpointPool.java
+++ b/entry/src/main/java/io/lentilstream/entry/directory/EndpointPool.java
@@ -6,9 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.OptionalInt;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import java.util.function.Function;
-import java.util.concurrent.CompletableFuture;
 
 import io.lentilstream.entry.shards.ShardMap;
 import io.lentilstream.model.EndpointId;
--- a/entry/src/main/java/io/lentilstream/entry/http/HttpMessages.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/HttpMessages.java
@@ -44,6 +44,7 @@
 			case STORE_UNAVAILABLE -> "The store cannot be reached, so the request cannot be recorded.";
 			case OWNER_UNAVAILABLE -> "The owner of the request's shard cannot be reached.";
 			case SHUTTING_DOWN -> "This entry VM shuts down.";
+			case CANCELLED -> "The request was cancelled before an endpoint ran it.";
 		};
 	}
 
--- a/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import com.google.common.flogger.FluentLogger;
--- a/entry/src/main/java/io/lentilstream/entry/work/JobRequest.java
+++ b/entry/src/main/java/io/lentilstream/entry/work/JobRequest.java
@@ -8,8 +8,8 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 
-import io.lentilstream.model.JobId;
 import io.lentilstream.model.Identifiers;
+import io.lentilstream.model.JobId;
 import io.lentilstream.model.KindName;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.TeamId;
--- a/model/src/main/java/io/lentilstream/model/NotRunReason.java
+++ b/model/src/main/java/io/lentilstream/model/NotRunReason.java
@@ -31,6 +31,7 @@
 
 	/** This entry VM shuts down. */
 	SHUTTING_DOWN,
+
 	/** The caller or an operator cancelled the request before it ran. */
 	CANCELLED
 
