Test faults of attempts and endpoints, and register ids under the lock

Cause: Lincheck showed that a request id was visible before its request: a second offer of the same id was ignored although no request was in progress yet. Failing endpoints were stopped only after five failures, and the time of a server error was learned as a run time. Change: the id is claimed under the lock of its pool; failures weigh more, so that three in a row stop an endpoint; server errors are not learned.

--- a/requests/src/main/java/io/lentilstream/requests/EndpointHealth.java
+++ b/requests/src/main/java/io/lentilstream/requests/EndpointHealth.java
@@ -32,9 +32,14 @@
 
 	private static final double MIN_LOG_RATIO = -1;
 
-	private static final double REDUCE_FAILURES = 0.2;
+	/** Weight of one attempt in the share of failures. */
+	private static final double FAILURE_WEIGHT = 0.2;
 
-	private static final double STOP_FAILURES = 0.4;
+	/** Reached by two failures in a row. */
+	private static final double REDUCE_FAILURES = 0.3;
+
+	/** Reached by three failures in a row. */
+	private static final double STOP_FAILURES = 0.45;
 
 	private static final int REDUCED_DIVISOR = 4;
 
@@ -59,7 +64,7 @@
 	 */
 	void answered(double logRatio, boolean mayStop, int slots) {
 		boolean slow = logRatio > STOP_SCORE;
-		this.failures -= WEIGHT * this.failures;
+		this.failures -= FAILURE_WEIGHT * this.failures;
 		this.score += WEIGHT * (Math.max(MIN_LOG_RATIO, Math.min(MAX_LOG_RATIO, logRatio)) - this.score);
 		switch (this.state) {
 			case PROBING, RECOVERING -> recover(slow, slots);
@@ -74,7 +79,7 @@
 	 * Takes in a failure: a broken attempt, a connection that failed or a server error.
 	 */
 	void failed() {
-		this.failures += WEIGHT * (1 - this.failures);
+		this.failures += FAILURE_WEIGHT * (1 - this.failures);
 		if (this.state == State.PROBING || this.state == State.RECOVERING) {
 			recover(true, 0);
 		}
--- a/requests/src/main/java/io/lentilstream/requests/RequestScheduler.java
+++ b/requests/src/main/java/io/lentilstream/requests/RequestScheduler.java
@@ -119,11 +119,7 @@
 		if (policy == null) {
 			return List.of(refusal(request.id(), NotRunReason.NO_ENDPOINT));
 		}
-		ServiceShard shard = shard(policy.pool());
-		if (this.owners.putIfAbsent(request.id(), shard) != null) {
-			return List.of();
-		}
-		return shard.offer(now, request, policy);
+		return shard(policy.pool()).offer(now, request, policy);
 	}
 
 	/**
@@ -216,8 +212,8 @@
 	}
 
 	private ServiceShard shard(ServiceKey pool) {
-		return this.shards.computeIfAbsent(pool,
-				(key) -> new ServiceShard(key, this.defaults, this.randoms.get(), this.owners::remove));
+		return this.shards.computeIfAbsent(pool, (key) -> new ServiceShard(key, this.defaults, this.randoms.get(),
+				(id, shard) -> this.owners.putIfAbsent(id, shard) == null, this.owners::remove));
 	}
 
 	private static RequestAction refusal(RequestId id, NotRunReason reason) {
--- a/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
+++ b/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
@@ -8,7 +8,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 import java.util.random.RandomGenerator;
 
 import io.lentilstream.model.EndpointId;
@@ -42,6 +44,8 @@
 
 	private final RandomGenerator random;
 
+	private final Predicate<RequestId> register;
+
 	private final TimerQueue timers = new TimerQueue();
 
 	private final ShardCounters counters = new ShardCounters();
@@ -78,7 +82,18 @@
 
 	private boolean drainEnded;
 
-	ServiceShard(ServiceKey key, RequestDefaults defaults, RandomGenerator random, Consumer<RequestId> forget) {
+	/**
+	 * Creates an empty pool.
+	 * @param key the team and service that owns the endpoints
+	 * @param defaults the settings that apply to every service
+	 * @param random breaks ties and spreads retries
+	 * @param register claims a request id for this pool, unless it is in progress; it is
+	 * called under the lock, so that the claim and the request appear at once
+	 * @param forget gives an id up
+	 */
+	ServiceShard(ServiceKey key, RequestDefaults defaults, RandomGenerator random,
+			BiPredicate<RequestId, ServiceShard> register, Consumer<RequestId> forget) {
+		this.register = (id) -> register.test(id, this);
 		this.key = key;
 		this.defaults = defaults;
 		this.random = random;
@@ -116,6 +131,9 @@
 
 	synchronized List<RequestAction> offer(MonotonicTime time, IncomingRequest request, ServicePolicy policy) {
 		begin(time);
+		if (!this.register.test(request.id())) {
+			return this.actions;
+		}
 		fireTimers();
 		Urgency urgency = Ticket.effectiveUrgency(request, policy);
 		RunTimeGroup group = this.runTimes.group(policy, urgency, request.declaredMillis());
@@ -249,7 +267,9 @@
 		if (result instanceof AttemptResult.Answered answer) {
 			if (attempt.endpoint != null) {
 				this.control.answered(this.now, attempt, answer.observedNanos(), answer.serverError());
-				ticket.group.observe(answer.observedNanos());
+				if (!answer.serverError()) {
+					ticket.group.observe(answer.observedNanos());
+				}
 			}
 			end(attempt);
 			if (ticket.closed) {
