--- /dev/null
+++ b/administration/src/test/java/io/lentilstream/administration/FakeStore.java
@@ -0,0 +1,122 @@
+package io.lentilstream.administration;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+
+import io.lentilstream.platform.LeaseId;
+import io.lentilstream.platform.LeaseOutcome;
+import io.lentilstream.platform.ListOutcome;
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.StoreClient;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.platform.StoreWrite;
+import io.lentilstream.platform.StoredValue;
+import io.lentilstream.platform.WatchOutcome;
+import io.lentilstream.platform.WriteOutcome;
+
+/**
+ * Is a store in memory whose next writes can fail in a given way.
+ */
+final class FakeStore implements StoreClient {
+
+	final Map<StoreKey, StoredValue> values = new TreeMap<>();
+
+	final Queue<Fault> faults = new ArrayDeque<>();
+
+	final List<StoreWrite> delayed = new ArrayList<>();
+
+	Optional<StoredValue> staleRead = Optional.empty();
+
+	boolean down;
+
+	int calls;
+
+	@Override
+	public CompletableFuture<ReadOutcome> read(StoreKey key) {
+		this.calls++;
+		if (this.down) {
+			return done(new ReadOutcome.Unavailable("down"));
+		}
+		Optional<StoredValue> current = Optional.ofNullable(this.values.get(key));
+		return done(new ReadOutcome.Read(this.staleRead.isPresent() ? this.staleRead : current));
+	}
+
+	@Override
+	public CompletableFuture<ListOutcome> list(StoreKey prefix) {
+		this.calls++;
+		return done(new ListOutcome.Listed(List.copyOf(this.values.values()), 1));
+	}
+
+	@Override
+	public CompletableFuture<WriteOutcome> write(StoreWrite write) {
+		this.calls++;
+		Fault fault = this.faults.isEmpty() ? Fault.NONE : this.faults.remove();
+		switch (fault) {
+			case NOT_WRITTEN -> {
+				return done(new WriteOutcome.NotWritten("down"));
+			}
+			case LOST_NOT_APPLIED -> {
+				return done(new WriteOutcome.ReplyLost("timeout"));
+			}
+			case LOST_APPLIED -> {
+				apply(write);
+				return done(new WriteOutcome.ReplyLost("timeout"));
+			}
+			case LOST_APPLIED_LATER -> {
+				this.delayed.add(write);
+				return done(new WriteOutcome.ReplyLost("timeout"));
+			}
+			default -> {
+				return done(apply(write));
+			}
+		}
+	}
+
+	WriteOutcome apply(StoreWrite write) {
+		StoredValue current = this.values.get(write.key());
+		long version = (current != null) ? current.version() : StoreWrite.ABSENT;
+		if (version != write.expectedVersion()) {
+			return new WriteOutcome.Conflict(Optional.ofNullable(current));
+		}
+		this.values.put(write.key(), new StoredValue(write.key(), write.value().orElseThrow(), version + 7));
+		return new WriteOutcome.Written(version + 7);
+	}
+
+	@Override
+	public CompletableFuture<LeaseOutcome> grantLease(Duration ttl) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CompletableFuture<LeaseOutcome> renewLease(LeaseId lease) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CompletableFuture<LeaseOutcome> revokeLease(LeaseId lease) {
+		throw new UnsupportedOperationException();
+	}
+
+	@Override
+	public CompletableFuture<WatchOutcome> watch(StoreKey prefix, long afterRevision, Duration wait) {
+		throw new UnsupportedOperationException();
+	}
+
+	private static <T> CompletableFuture<T> done(T outcome) {
+		return CompletableFuture.completedFuture(outcome);
+	}
+
+	enum Fault {
+
+		NONE, NOT_WRITTEN, LOST_APPLIED, LOST_NOT_APPLIED, LOST_APPLIED_LATER
+
+	}
+
+}
