--- a/standin/src/main/java/io/lentilstream/standin/package-info.java
+++ b/standin/src/main/java/io/lentilstream/standin/package-info.java
@@ -1,4 +1,5 @@
 /**
- * A stand-in platform on loopback.
+ * Stand-in of the platform over HTTP on loopback, with switches for faults and records of
+ * what ran.
  */
 package io.lentilstream.standin;
--- /dev/null
+++ b/standin/src/test/java/io/lentilstream/standin/StandinFixture.java
@@ -0,0 +1,125 @@
+package io.lentilstream.standin;
+
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
+
+import org.awaitility.Awaitility;
+
+import io.lentilstream.model.AvailabilityZoneId;
+import io.lentilstream.model.EndpointId;
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.RackId;
+import io.lentilstream.model.Resources;
+import io.lentilstream.model.ServiceName;
+import io.lentilstream.model.TeamId;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.http.HttpCalls;
+import io.lentilstream.platform.http.HttpClientSettings;
+import io.lentilstream.platform.http.HttpEndpointClient;
+import io.lentilstream.platform.http.HttpStoreClient;
+import io.lentilstream.platform.http.HttpVmDirectory;
+import io.lentilstream.platform.http.HttpWorkerClient;
+import io.lentilstream.platform.http.StoreCallMeter;
+
+/**
+ * Runs a stand-in with one worker, one endpoint and a clock that only the test moves.
+ */
+final class StandinFixture implements AutoCloseable {
+
+	static final VmId WORKER = new VmId("worker-1");
+
+	static final EndpointId ENDPOINT = new EndpointId("endpoint-1");
+
+	static final AvailabilityZoneId ZONE = new AvailabilityZoneId("zone-1");
+
+	static final Duration LAG = Duration.ofSeconds(2);
+
+	/**
+	 * Bounds a test that would wait forever; no test expects to reach it.
+	 */
+	private static final long GUARD_SECONDS = 20;
+
+	final AtomicLong nanos = new AtomicLong();
+
+	final StandinPlatform platform;
+
+	final HttpCalls calls = new HttpCalls(
+			HttpClientSettings.DEFAULTS.withCallTimeout(Duration.ofSeconds(GUARD_SECONDS)));
+
+	final HttpCalls shortCalls = new HttpCalls(HttpClientSettings.DEFAULTS.withCallTimeout(Duration.ofMillis(100)));
+
+	final StoreCallMeter meter = new StoreCallMeter();
+
+	StandinFixture() {
+		Topology topology = Topology.EMPTY
+			.with(new Topology.WorkerVm(WORKER, ZONE, new RackId("rack-1"), new Resources(4_000, 8_000, 0)))
+			.with(new Topology.EndpointVm(ENDPOINT, ZONE, new RackId("rack-1"), new TeamId("team-1"),
+					new ServiceName("service-1"), 2, 3, Duration.ofMillis(50)))
+			.withLags(LAG, LAG);
+		this.platform = new StandinPlatform(topology, () -> new MonotonicTime(this.nanos.get()));
+		this.platform.start();
+	}
+
+	HttpStoreClient store(String client) {
+		return new HttpStoreClient(this.calls, this.platform.storeUrl(), client, this.meter);
+	}
+
+	HttpStoreClient impatientStore() {
+		return new HttpStoreClient(this.shortCalls, this.platform.storeUrl(), "impatient", this.meter);
+	}
+
+	HttpWorkerClient workers() {
+		return new HttpWorkerClient(this.calls, this.platform::workerUrl);
+	}
+
+	HttpWorkerClient impatientWorkers() {
+		return new HttpWorkerClient(this.shortCalls, this.platform::workerUrl);
+	}
+
+	HttpEndpointClient endpoints() {
+		return new HttpEndpointClient(this.calls, this.platform::endpointUrl);
+	}
+
+	HttpVmDirectory directory() {
+		return new HttpVmDirectory(this.calls, this.platform.directoryUrl());
+	}
+
+	void pass(Duration time) {
+		this.nanos.addAndGet(time.toNanos());
+		this.platform.runDue();
+	}
+
+	EndpointRecord endpointRecord() {
+		return this.platform.records().endpoints().get(ENDPOINT);
+	}
+
+	void awaitRuns(long runs) {
+		Awaitility.await().until(() -> endpointRecord().runs() >= runs);
+	}
+
+	static <T> T get(CompletableFuture<T> future) {
+		try {
+			return future.get(GUARD_SECONDS, TimeUnit.SECONDS);
+		}
+		catch (InterruptedException | ExecutionException | TimeoutException ex) {
+			throw new AssertionError("no outcome", ex);
+		}
+	}
+
+	static byte[] bytes(String text) {
+		return text.getBytes(StandardCharsets.UTF_8);
+	}
+
+	@Override
+	public void close() {
+		this.calls.close();
+		this.shortCalls.close();
+		this.platform.stop();
+	}
+
+}
