--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/EntryPlatform.java
@@ -0,0 +1,125 @@
+package io.lentilstream.entry;
+
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.lentilstream.platform.EndpointClient;
+import io.lentilstream.platform.StoreClient;
+import io.lentilstream.platform.VmDirectory;
+import io.lentilstream.platform.VmEntry;
+import io.lentilstream.platform.WorkerClient;
+import io.lentilstream.platform.http.HttpCalls;
+import io.lentilstream.platform.http.HttpClientSettings;
+import io.lentilstream.platform.http.HttpEndpointClient;
+import io.lentilstream.platform.http.HttpStoreClient;
+import io.lentilstream.platform.http.HttpVmDirectory;
+import io.lentilstream.platform.http.HttpWorkerClient;
+import io.lentilstream.platform.http.StoreCallMeter;
+import io.lentilstream.settings.process.EntrySettings;
+
+/**
+ * Connects an entry daemon to the platform over HTTP. Addresses of workers and endpoints
+ * come from the list of VMs.
+ */
+public final class EntryPlatform implements AutoCloseable {
+
+	private final Map<String, String> addresses = new ConcurrentHashMap<>();
+
+	private final StoreCallMeter meter = new StoreCallMeter();
+
+	private final HttpCalls control;
+
+	private final HttpCalls data;
+
+	private final StoreClient store;
+
+	private final WorkerClient workers;
+
+	private final EndpointClient endpoints;
+
+	private final VmDirectory directory;
+
+	/**
+	 * Creates the clients.
+	 * @param settings the settings of the daemon
+	 */
+	public EntryPlatform(EntrySettings settings) {
+		EntrySettings.Platform platform = settings.platform();
+		HttpClientSettings limits = new HttpClientSettings(platform.connectTimeout(), platform.callTimeout(),
+				HttpClientSettings.DEFAULTS.maximumCalls(), HttpClientSettings.DEFAULTS.maximumBodyBytes(),
+				HttpClientSettings.DEFAULTS.idleConnections());
+		// Separate connections and limits, so that many slow requests delay no lease.
+		this.control = new HttpCalls(limits);
+		this.data = new HttpCalls(limits.withMaximumBodyBytes(settings.limits().answerBodyBytes()));
+		this.store = new HttpStoreClient(this.control, platform.baseUrl() + "/store", settings.vm().value(),
+				this.meter);
+		this.workers = new HttpWorkerClient(this.control, (vm) -> addressOf(vm.value()));
+		this.endpoints = new HttpEndpointClient(this.data, (endpoint) -> addressOf(endpoint.value()));
+		this.directory = new HttpVmDirectory(this.control, platform.baseUrl() + "/directory");
+	}
+
+	/**
+	 * Returns the client of the store.
+	 * @return the client
+	 */
+	public StoreClient store() {
+		return this.store;
+	}
+
+	/**
+	 * Returns the client of the workers.
+	 * @return the client
+	 */
+	public WorkerClient workers() {
+		return this.workers;
+	}
+
+	/**
+	 * Returns the client of the endpoints.
+	 * @return the client
+	 */
+	public EndpointClient endpoints() {
+		return this.endpoints;
+	}
+
+	/**
+	 * Returns the client of the list of VMs.
+	 * @return the client
+	 */
+	public VmDirectory directory() {
+		return this.directory;
+	}
+
+	/**
+	 * Returns the counts of store calls.
+	 * @return the meter
+	 */
+	public StoreCallMeter meter() {
+		return this.meter;
+	}
+
+	/**
+	 * Takes the addresses of listed VMs. Addresses of VMs that are no longer listed stay
+	 * known, since work there may still have to be stopped.
+	 * @param entries the list of a zone
+	 */
+	public void learn(List<VmEntry> entries) {
+		for (VmEntry entry : entries) {
+			this.addresses.put(entry.vm().value(), "http://" + entry.address());
+		}
+	}
+
+	// A record may name a VM that this process never saw listed; the clients answer that
+	// nothing was sent.
+	private String addressOf(String vm) {
+		return this.addresses.get(vm);
+	}
+
+	@Override
+	public void close() {
+		this.control.close();
+		this.data.close();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/EntryShardFactory.java
@@ -0,0 +1,44 @@
+package io.lentilstream.entry;
+
+import io.lentilstream.entry.records.RecordShardDriver;
+import io.lentilstream.entry.shards.OwnedShards;
+import io.lentilstream.entry.tasks.TaskShardDriver;
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.platform.WorkerClient;
+import io.lentilstream.requests.records.RequestRecordSettings;
+import io.lentilstream.requests.records.RequestRecords;
+import io.lentilstream.shards.log.ShardLog;
+import io.lentilstream.shards.log.ShardLogSettings;
+import io.lentilstream.tasks.TaskSettings;
+
+/**
+ * Creates the drivers of gained shards.
+ *
+ * @param logs the limits of shard logs
+ * @param tasks the settings of decisions about tasks
+ * @param workers commands workers
+ * @param environment what all shards share
+ * @param threads the threads of the daemon
+ */
+record EntryShardFactory(ShardLogSettings logs, TaskSettings tasks, WorkerClient workers,
+		RecordShardDriver.Environment environment, EntryThreads threads) implements OwnedShards.Factory {
+
+	@Override
+	public TaskShardDriver newTaskShard(ShardId shard, Epoch epoch, boolean releasedCleanly) {
+		return new TaskShardDriver(shard, epoch, releasedCleanly, this.tasks, newLog(shard, epoch),
+				this.environment.store(), this.workers, this.environment.clock(), this.threads.newSerial(),
+				this.threads.timers());
+	}
+
+	@Override
+	public RecordShardDriver newRecordShard(ShardId shard, Epoch epoch) {
+		return new RecordShardDriver(shard, new RequestRecords(RequestRecordSettings.defaults(), shard, epoch),
+				newLog(shard, epoch), this.environment, this.threads.newSerial());
+	}
+
+	private ShardLog newLog(ShardId shard, Epoch epoch) {
+		return new ShardLog(this.logs, shard, epoch, this.environment.clock().now());
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/PeerRequests.java
@@ -0,0 +1,89 @@
+package io.lentilstream.entry;
+
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+
+import io.opentelemetry.api.trace.Span;
+import io.opentelemetry.api.trace.SpanKind;
+
+import io.lentilstream.entry.requests.RequestContent;
+import io.lentilstream.entry.requests.RequestDriver;
+import io.lentilstream.entry.telemetry.Tracing;
+import io.lentilstream.entry.work.OwnerCall;
+import io.lentilstream.entry.work.OwnerRouter;
+import io.lentilstream.model.MonotonicClock;
+import io.lentilstream.model.NotRunReason;
+import io.lentilstream.model.RequestOutcome;
+import io.lentilstream.model.VmId;
+import io.lentilstream.requests.IncomingRequest;
+import io.lentilstream.requests.ServiceKey;
+import io.lentilstream.wire.PeerFrame;
+import io.lentilstream.wire.PeerMessage;
+import io.lentilstream.wire.PeerTransport;
+import io.lentilstream.wire.SendOutcome;
+
+/**
+ * Serves the requests that peers forward.
+ */
+final class PeerRequests {
+
+	private final RequestDriver driver;
+
+	private final OwnerRouter owners;
+
+	private final Supplier<PeerTransport> transport;
+
+	private final Tracing tracing;
+
+	private final MonotonicClock clock;
+
+	PeerRequests(RequestDriver driver, OwnerRouter owners, Supplier<PeerTransport> transport, Tracing tracing,
+			MonotonicClock clock) {
+		this.driver = driver;
+		this.owners = owners;
+		this.transport = transport;
+		this.tracing = tracing;
+		this.clock = clock;
+	}
+
+	void received(VmId from, PeerFrame frame, PeerMessage.ForwardRequest message) {
+		Span span = this.tracing.start("entry.forwarded", SpanKind.SERVER, frame.traceparent());
+		span.setAttribute("request.id", message.id().value());
+		span.setAttribute("peer", from.value());
+		run(message, Tracing.traceparent(span)).thenAccept((outcome) -> {
+			span.end();
+			reply(from, frame.correlationId(), message, outcome);
+		});
+	}
+
+	private CompletableFuture<RequestOutcome> run(PeerMessage.ForwardRequest message, String traceparent) {
+		if (message.service().isPresent()) {
+			IncomingRequest request = new IncomingRequest(message.id(),
+					new ServiceKey(message.team(), message.service().get()), message.urgency(),
+					this.clock.now().plusMillis(message.remainingMillis()), message.repeatable(), true, 0);
+			java.util.Map<String, String> headers = new java.util.HashMap<>(message.headers());
+			headers.put(Tracing.TRACEPARENT, traceparent);
+			return this.driver.submit(request, new RequestContent(message.method(), message.target(), headers,
+					message.body().array(), message.key()));
+		}
+		Optional<OwnerCall> call = OwnerRouter.read(message);
+		if (call.isEmpty()) {
+			return CompletableFuture.completedFuture(new RequestOutcome.NotRun(NotRunReason.OWNER_UNAVAILABLE, 0));
+		}
+		return this.owners.handleForwarded(call.get());
+	}
+
+	private void reply(VmId to, String correlation, PeerMessage.ForwardRequest message, RequestOutcome outcome) {
+		PeerMessage reply = (outcome instanceof RequestOutcome.NotRun refusal)
+				? new PeerMessage.ForwardRefusal(message.id(), refusal.reason(), refusal.retryAfterMillis())
+				: new PeerMessage.ForwardAnswer(message.id(), outcome);
+		SendOutcome sent = this.transport.get().send(to, new PeerFrame(correlation, "", reply));
+		if (sent instanceof SendOutcome.TooLarge) {
+			this.transport.get()
+				.send(to, new PeerFrame(correlation, "",
+						new PeerMessage.ForwardAnswer(message.id(), new RequestOutcome.Unknown(message.id()))));
+		}
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/directory/SlotCounts.java
@@ -0,0 +1,45 @@
+package io.lentilstream.entry.directory;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+import io.lentilstream.model.AvailabilityZoneId;
+import io.lentilstream.model.TeamId;
+import io.lentilstream.platform.VmEntry;
+
+/**
+ * Counts the listed slots of each team over all zones, so that a quota in slots can be
+ * turned into a share of the slots that one entry VM owns.
+ */
+public final class SlotCounts {
+
+	private final Map<AvailabilityZoneId, Map<TeamId, Integer>> byZone = new ConcurrentHashMap<>();
+
+	/**
+	 * Takes the list of a zone.
+	 * @param zone the zone
+	 * @param entries its VMs
+	 * @return whether the counts of the zone changed
+	 */
+	public boolean list(AvailabilityZoneId zone, List<VmEntry> entries) {
+		Map<TeamId, Integer> counts = new HashMap<>();
+		for (VmEntry entry : entries) {
+			if (entry.role() == VmEntry.Role.ENDPOINT) {
+				entry.team().ifPresent((team) -> counts.merge(team, entry.slots(), Integer::sum));
+			}
+		}
+		return !counts.equals(this.byZone.put(zone, counts));
+	}
+
+	/**
+	 * Returns the slots of a team.
+	 * @param team the team
+	 * @return the slots of its endpoints in all listed zones
+	 */
+	public int of(TeamId team) {
+		return this.byZone.values().stream().mapToInt((counts) -> counts.getOrDefault(team, 0)).sum();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/http/StatusRoutes.java
@@ -0,0 +1,167 @@
+package io.lentilstream.entry.http;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.Predicate;
+import java.util.function.Supplier;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+
+import io.lentilstream.administration.Access;
+import io.lentilstream.entry.records.RecordShardDriver;
+import io.lentilstream.entry.settings.SettingsInForce;
+import io.lentilstream.entry.shards.OwnedShards;
+import io.lentilstream.entry.tasks.TaskShardDriver;
+import io.lentilstream.membership.PeerInfo;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.requests.ServiceSnapshot;
+import io.lentilstream.settings.schema.TeamSettings;
+import io.lentilstream.tasks.JobView;
+
+/**
+ * Shows operators what this entry VM owns and does, and starts a graceful shutdown.
+ */
+public final class StatusRoutes {
+
+	private final AdministrationAccess access;
+
+	private final OwnedShards shards;
+
+	private final SettingsInForce settings;
+
+	private final Supplier<List<PeerInfo>> peers;
+
+	private final Supplier<List<ServiceSnapshot>> services;
+
+	private final Runnable drain;
+
+	/**
+	 * Creates the routes.
+	 * @param access reads the operator's key
+	 * @param shards the owned shards
+	 * @param settings the settings in force
+	 * @param peers returns the view of the peers
+	 * @param services returns the counts of services
+	 * @param drain starts a graceful shutdown
+	 */
+	public StatusRoutes(AdministrationAccess access, OwnedShards shards, SettingsInForce settings,
+			Supplier<List<PeerInfo>> peers, Supplier<List<ServiceSnapshot>> services, Runnable drain) {
+		this.access = access;
+		this.shards = shards;
+		this.settings = settings;
+		this.peers = peers;
+		this.services = services;
+		this.drain = drain;
+	}
+
+	/**
+	 * Adds the routes to the application.
+	 * @param app the application
+	 */
+	public void install(Jooby app) {
+		app.get("/admin/status", (context) -> forAdministrator(context, this::status));
+		app.get("/admin/requests", this::requests);
+		app.get("/admin/tasks", this::tasks);
+		app.get("/admin/teams", this::teams);
+		app.post("/admin/drain", (context) -> forAdministrator(context, () -> {
+			this.drain.run();
+			return Map.of("draining", true);
+		}));
+	}
+
+	private Object forAdministrator(Context context, Supplier<Object> body) {
+		if (!(this.access.of(context) instanceof Access.Administrator)) {
+			return AdministrationAccess.refuse(context);
+		}
+		return HttpAnswers.sendJson(context, 200, body.get());
+	}
+
+	private Object status() {
+		Map<String, Object> status = new LinkedHashMap<>();
+		status.put("workerShards", names(this.shards.taskShards()));
+		status.put("requestShards", names(this.shards.recordShards()));
+		Map<String, Object> states = new TreeMap<>();
+		for (PeerInfo peer : this.peers.get()) {
+			states.put(peer.vm().value(), Map.of("zone", peer.zone().value(), "state",
+					peer.state().name().toLowerCase(Locale.ROOT), "shards", peer.shards().size()));
+		}
+		status.put("peers", states);
+		return status;
+	}
+
+	private static List<String> names(Map<ShardId, ?> shards) {
+		return shards.keySet().stream().sorted().map(ShardId::toString).toList();
+	}
+
+	private Object requests(Context context) {
+		Access caller = this.access.of(context);
+		List<Object> shown = new ArrayList<>();
+		for (ServiceSnapshot service : this.services.get()) {
+			if (caller.mayRead("/teams/" + service.service().team())) {
+				Map<String, Object> counts = new LinkedHashMap<>();
+				counts.put("service", service.service().toString());
+				counts.put("slots", service.slots());
+				counts.put("freeSlots", service.freeSlots());
+				counts.put("inFlight", service.inFlight());
+				counts.put("queued", service.queued());
+				counts.put("delivered", service.delivered());
+				counts.put("refused", service.refused());
+				counts.put("unknown", service.unknown());
+				counts.put("retried", service.retried());
+				counts.put("hedged", service.hedged());
+				shown.add(counts);
+			}
+		}
+		int records = this.shards.recordShards().values().stream().mapToInt(RecordShardDriver::size).sum();
+		return show(context, caller, Map.of("services", shown, "records", records));
+	}
+
+	private Object tasks(Context context) {
+		Access caller = this.access.of(context);
+		List<Object> shown = new ArrayList<>();
+		for (TaskShardDriver driver : this.shards.taskShards().values()) {
+			driver.shard().ifPresent((shard) -> {
+				for (JobView job : shard.jobs()) {
+					if (caller.mayRead("/teams/" + job.team())) {
+						shown.add(Map.of("shard", shard.shard().toString(), "team", job.team().value(), "job",
+								job.job().value(), "ended", job.ended(), "tasks", lowerCase(job), "problem",
+								job.problem().orElse("")));
+					}
+				}
+			});
+		}
+		return show(context, caller, Map.of("jobs", shown));
+	}
+
+	private static Map<String, Integer> lowerCase(JobView job) {
+		Map<String, Integer> states = new TreeMap<>();
+		job.tasks().forEach((state, count) -> states.put(state.name().toLowerCase(Locale.ROOT), count));
+		return states;
+	}
+
+	private Object teams(Context context) {
+		Access caller = this.access.of(context);
+		Predicate<TeamSettings> mayRead = (team) -> caller.mayRead("/teams/" + team.team());
+		List<Object> shown = new ArrayList<>();
+		this.settings.teams()
+			.stream()
+			.filter(mayRead)
+			.forEach((team) -> shown.add(Map.of("team", team.team().value(), "services",
+					team.services().keySet().stream().map(Object::toString).toList(), "kinds",
+					team.kinds().keySet().stream().map(Object::toString).toList())));
+		return show(context, caller, Map.of("teams", shown));
+	}
+
+	private static Object show(Context context, Access caller, Object body) {
+		if (caller instanceof Access.Denied) {
+			return AdministrationAccess.refuse(context);
+		}
+		return HttpAnswers.sendJson(context, 200, body);
+	}
+
+}
--- a/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
@@ -178,6 +178,7 @@
 		if (message instanceof PeerMessage.Heartbeat heartbeat) {
 			perform(this.view.heartbeat(now, from, heartbeat));
 			perform(this.replica.heartbeat(now, from, heartbeat));
+			this.listener.heartbeat(from);
 		}
 		else if (message instanceof PeerMessage.Document document) {
 			perform(this.replica.received(now, from, document));
@@ -217,6 +218,12 @@
 		 */
 		void applied(SettingsDocument document);
 
+		/**
+		 * A heartbeat arrived.
+		 * @param from the sender
+		 */
+		void heartbeat(VmId from);
+
 		/**
 		 * A peer changed its state.
 		 * @param vm the peer
--- a/entry/src/main/java/io/lentilstream/entry/shards/OwnershipDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/OwnershipDriver.java
@@ -134,7 +134,7 @@
 			Optional<MonotonicTime> deadline = this.ownership.commitDeadline();
 			if (!deadline.equals(this.lastDeadline)) {
 				this.lastDeadline = deadline;
-				this.listener.deadlineChanged();
+				this.listener.deadlineChanged(deadline);
 			}
 			this.timer.wakeAt(this.ownership.nextWakeUp());
 		});
@@ -181,7 +181,7 @@
 		}
 		else if (action instanceof OwnershipAction.ShardLost lost) {
 			logger.atInfo().log(PREFIX + "lost shard %s of epoch %s: %s.", lost.shard(), lost.epoch(), lost.reason());
-			this.listener.lost(lost.shard(), lost.epoch());
+			this.listener.lost(lost.shard(), lost.epoch(), lost.reason() == OwnershipAction.LossReason.LEASE_LAPSED);
 		}
 		else if (action instanceof OwnershipAction.ShardSuspended suspended) {
 			logger.atWarning().log(PREFIX + "commit deadline of shard %s passed.", suspended.shard());
--- a/entry/src/main/java/io/lentilstream/entry/shards/OwnershipListener.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/OwnershipListener.java
@@ -1,13 +1,15 @@
 package io.lentilstream.entry.shards;
 
 import java.util.Optional;
+import java.util.function.Consumer;
 
 import io.lentilstream.model.Epoch;
+import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
 
 /**
- * Is told which shards this entry VM owns.
+ * Is told which shards this entry VM owns. All calls come in order.
  */
 public interface OwnershipListener {
 
@@ -26,18 +28,20 @@
 	 * @param shard the shard
 	 * @param ready is told whether nothing is held back for an earlier owner
 	 */
-	void prepareRelease(ShardId shard, java.util.function.Consumer<Boolean> ready);
+	void prepareRelease(ShardId shard, Consumer<Boolean> ready);
 
 	/**
 	 * This entry VM does not own the shard any more.
 	 * @param shard the shard
 	 * @param epoch the epoch that ended
+	 * @param lapsed whether the lease lapsed and no other owner is known
 	 */
-	void lost(ShardId shard, Epoch epoch);
+	void lost(ShardId shard, Epoch epoch, boolean lapsed);
 
 	/**
-	 * The commit deadline of all owned shards changed, or passed.
+	 * The commit deadline of all owned shards changed.
+	 * @param commitDeadline the deadline; empty without a lease
 	 */
-	void deadlineChanged();
+	void deadlineChanged(Optional<MonotonicTime> commitDeadline);
 
 }
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/shards/ShardCountCheck.java
@@ -0,0 +1,66 @@
+package io.lentilstream.entry.shards;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.StoreClient;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.platform.StoreWrite;
+import io.lentilstream.platform.StoredValue;
+import io.lentilstream.platform.WriteOutcome;
+
+/**
+ * Makes sure that all entry VMs split a scope into the same number of shards. With
+ * different numbers, two owners could commit capacity of the same VM.
+ */
+public final class ShardCountCheck {
+
+	private static final StoreKey PREFIX = new StoreKey("/lentilstream/scopes");
+
+	private final StoreClient store;
+
+	/**
+	 * Creates the check.
+	 * @param store the store that holds the numbers
+	 */
+	public ShardCountCheck(StoreClient store) {
+		this.store = store;
+	}
+
+	/**
+	 * Records the number of a scope, or compares it with the recorded one.
+	 * @param scope the availability zone or region
+	 * @param shards the number in the settings of this process
+	 * @return {@code true} if the numbers agree, {@code false} if they differ, or empty
+	 * if the store did not answer
+	 */
+	public CompletableFuture<Optional<Boolean>> agrees(String scope, int shards) {
+		StoreKey key = PREFIX.child(scope);
+		byte[] own = Integer.toString(shards).getBytes(StandardCharsets.UTF_8);
+		return this.store.read(key).thenCompose((outcome) -> {
+			if (!(outcome instanceof ReadOutcome.Read read)) {
+				return CompletableFuture.completedFuture(Optional.empty());
+			}
+			if (read.value().isPresent()) {
+				return CompletableFuture.completedFuture(Optional.of(isSame(read.value().get(), own)));
+			}
+			return this.store.write(StoreWrite.put(key, own, StoreWrite.ABSENT)).thenApply((written) -> {
+				if (written instanceof WriteOutcome.Written) {
+					return Optional.of(true);
+				}
+				if (written instanceof WriteOutcome.Conflict conflict && conflict.current().isPresent()) {
+					return Optional.of(isSame(conflict.current().get(), own));
+				}
+				// The next try reads what the store holds.
+				return Optional.empty();
+			});
+		});
+	}
+
+	private static boolean isSame(StoredValue value, byte[] own) {
+		return java.util.Arrays.equals(value.value(), own);
+	}
+
+}
