Test queueing, forwarding, hedges and drain

The tests showed that a team without quota was refused as over its quota when the pool was full, and that a peer whose report said "no wait" got more requests than it had free slots. Change: only a quota below the pool counts as reached; a peer gets no more requests than it reported free slots, unless this entry VM owns no endpoint of the service. Conclusion: forwarding by reported wait is out, since reports are too old for it.

--- a/requests/src/main/java/io/lentilstream/requests/ForwardRule.java
+++ b/requests/src/main/java/io/lentilstream/requests/ForwardRule.java
@@ -4,18 +4,14 @@
 import java.util.random.RandomGenerator;
 
 /**
- * Chooses the peer that a request is forwarded to when it would wait here. Peers of the
- * zone come first; other zones only get spill, if the service allows it and the wait
- * there plus the round trip is shorter than the wait here.
+ * Chooses the peer that a request is forwarded to when it would wait here longer than the
+ * way to the peer takes. A peer gets no more requests than it reported free slots, since
+ * its reported wait is out of date after the first of them; only an entry VM without
+ * endpoints of the service forwards all its requests. Other zones only get requests of
+ * services that allow spill.
  */
 final class ForwardRule {
 
-	/**
-	 * How much shorter a reported wait must be than the wait here; a report is as old as
-	 * the last heartbeat, and every peer sees the same one.
-	 */
-	private static final double WAIT_ADVANTAGE = 0.5;
-
 	private ForwardRule() {
 	}
 
@@ -26,7 +22,7 @@
 	 * @param waitNanos the wait here; {@link Long#MAX_VALUE} if no endpoint is owned here
 	 * @param peers the peers
 	 * @param maxAgeNanos the age from which a report is not used
-	 * @param random chooses the two peers to compare
+	 * @param random spreads the requests over equal peers
 	 * @return the peer, or {@code null} to keep the request here
 	 */
 	static PeerView choose(Ticket ticket, long now, long waitNanos, List<PeerView> peers, long maxAgeNanos,
@@ -43,8 +39,9 @@
 				continue;
 			}
 			long cost = cost(peer);
+			boolean room = peer.free() > 0 || waitNanos == Long.MAX_VALUE;
 			boolean inTime = ticket.deadline - now - cost > ticket.group.medianNanos();
-			if (inTime && cost < bestCost && (peer.free() > 0 || cost < WAIT_ADVANTAGE * waitNanos)) {
+			if (room && inTime && cost < bestCost) {
 				best = peer;
 				bestCost = cost;
 			}
--- a/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
+++ b/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
@@ -561,7 +561,8 @@
 	}
 
 	private boolean atQuota(TeamQueue team) {
-		return team.inUse() >= team.slotLimit(this.ledger.capacity());
+		int limit = team.slotLimit(this.ledger.capacity());
+		return limit < this.ledger.capacity() && team.inUse() >= limit;
 	}
 
 	/**
--- /dev/null
+++ b/requests/src/test/java/io/lentilstream/requests/ForwardingTests.java
@@ -0,0 +1,158 @@
+package io.lentilstream.requests;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.Stream;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+
+import io.lentilstream.model.Urgency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against requests that go to peers without room, go round in circles or leave the
+ * zone without permission, and against a drain or hedge that breaks a request.
+ */
+class ForwardingTests {
+
+	private final SchedulerFixture fixture = new SchedulerFixture().withEndpoints(1, 2, 2);
+
+	static Stream<Arguments> peers() {
+		return Stream.of(Arguments.of("free slots", 1, 0, true, false, false, "Forward"),
+				Arguments.of("no free slot", 0, 0, true, false, false, "none"),
+				Arguments.of("stale report", 1, 2_001, true, false, false, "none"),
+				Arguments.of("already forwarded", 1, 0, true, false, true, "none"),
+				Arguments.of("other zone without permission", 1, 0, false, false, false, "none"),
+				Arguments.of("other zone with permission", 1, 0, false, true, false, "Forward"));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("peers")
+	void forwardsWhatWouldWaitOnlyToAPeerWithRoom(String name, int free, long ageMillis, boolean sameZone,
+			boolean spill, boolean forwarded, String expected) {
+		ServicePolicy base = this.fixture.policy;
+		this.fixture.withPolicy(new ServicePolicy(base.service(), base.pool(), Urgency.URGENT, 1, 1, true, spill, 100,
+				0.1, false, Duration.ofMillis(50)));
+		this.fixture.fill(0, 2);
+		this.fixture.check(this.fixture.scheduler.updatePeers(this.fixture.now,
+				List.of(new PeerReport(SchedulerFixture.PEER, sameZone, SchedulerFixture.SERVICE, free,
+						Duration.ofSeconds(1), Duration.ofMillis(2), this.fixture.now.plusMillis(-ageMillis)))));
+		List<RequestAction> actions = this.fixture.offer(5, SchedulerFixture.SERVICE, Urgency.URGENT, 1_000, true,
+				forwarded);
+		assertThat(actions.isEmpty() ? "none" : actions.get(0).getClass().getSimpleName()).isEqualTo(expected);
+	}
+
+	@Test
+	void sendsNoMoreToAPeerThanItReportedFree() {
+		this.fixture.fill(0, 2);
+		this.fixture.reportPeer(2, 0);
+		this.fixture.fill(2, 5);
+		assertThat(this.fixture.snapshot().forwarded()).isEqualTo(2);
+		this.fixture.reportPeer(2, 0);
+		assertThat(this.fixture.snapshot().forwarded()).as("same report again").isEqualTo(2);
+		this.fixture.advance(1);
+		this.fixture.reportPeer(2, 0);
+		assertThat(this.fixture.snapshot().forwarded()).as("waiting requests after a new report").isEqualTo(4);
+	}
+
+	@Test
+	void keepsServingARequestThatThePeerRefused() {
+		this.fixture.fill(0, 2);
+		this.fixture.reportPeer(2, 0);
+		this.fixture.offerUrgent(5);
+		assertThat(this.fixture.completed(5, new AttemptResult.Refused(1, false))).isEmpty();
+		this.fixture.answered(0, 1, 10);
+		assertThat(this.fixture.answered(5, 2, 10))
+			.containsExactly(new RequestAction.Deliver(SchedulerFixture.id(5), 2));
+	}
+
+	@Test
+	void forwardsEverythingWhenItOwnsNoEndpoint() {
+		this.fixture.endpoints.clear();
+		this.fixture.updateEndpoints();
+		this.fixture.reportPeer(0, 0);
+		assertThat(this.fixture.offerUrgent(1)).first().isInstanceOf(RequestAction.Forward.class);
+	}
+
+	static Stream<Arguments> drainSteps() {
+		return Stream.of(Arguments.of("in flight", new int[] { 1 }, "Deliver"),
+				Arguments.of("waiting, slot becomes free", new int[] { 3, 0 }, "Deliver"),
+				Arguments.of("waiting, no slot becomes free", new int[] { 3 }, "Refuse"),
+				Arguments.of("in flight, hangs", new int[] { 0 }, "ReportUnknown"));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("drainSteps")
+	void endsEachRequestOfADrain(String name, int[] numbers, String expected) {
+		int number = numbers[0];
+		this.fixture.fill(0, 4);
+		this.fixture.drain();
+		if (numbers.length > 1) {
+			this.fixture.answered(numbers[1], 1, 10);
+			this.fixture.answered(1, 1, 10);
+		}
+		if (expected.equals("Deliver")) {
+			this.fixture.answered(number, 1, 10);
+		}
+		this.fixture.advance(RequestDefaults.standard().drainGrace().toMillis());
+		this.fixture.advance(100_000);
+		assertThat(this.fixture.finals.get(SchedulerFixture.id(number)).getClass().getSimpleName()).isEqualTo(expected);
+		this.fixture.advance(1_000);
+		assertThat(this.fixture.scheduler.isIdle()).isTrue();
+	}
+
+	@Test
+	void retriesARefusedRequestDuringADrainButNotAfterTheGrace() {
+		this.fixture.fill(0, 2);
+		this.fixture.drain();
+		this.fixture.completed(0, new AttemptResult.Refused(1, false));
+		assertThat(this.fixture.advance(5)).first().isInstanceOf(RequestAction.Dispatch.class);
+		this.fixture.advance(RequestDefaults.standard().drainGrace().toMillis());
+		assertThat(this.fixture.completed(0, new AttemptResult.Refused(2, false))).first()
+			.isInstanceOf(RequestAction.Refuse.class);
+	}
+
+	static Stream<Arguments> hedges() {
+		return Stream.of(Arguments.of("allowed", true, true, 0, true),
+				Arguments.of("not allowed", false, true, 0, false),
+				Arguments.of("non-repeatable", true, false, 0, false),
+				Arguments.of("no free share of slots", true, true, 3, false));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("hedges")
+	void hedgesASlowAttemptOnlyWhenItMayRunTwice(String name, boolean allowed, boolean repeatable, int others,
+			boolean expected) {
+		SchedulerFixture wide = new SchedulerFixture();
+		wide.withPolicy(new ServicePolicy(SchedulerFixture.SERVICE, SchedulerFixture.SERVICE, Urgency.URGENT, 1, 1,
+				true, false, 100, 0.1, allowed, Duration.ofMillis(10)))
+			.withEndpoints(4, 1, 1);
+		wide.fill(10, others);
+		wide.offer(1, Urgency.URGENT, 1_000, repeatable);
+		List<RequestAction> actions = wide.advance(30);
+		assertThat(actions.stream().anyMatch((action) -> action.request().equals(SchedulerFixture.id(1))))
+			.isEqualTo(expected);
+		if (expected) {
+			assertThat(wide.answered(1, 2, 10)).containsExactly(new RequestAction.Deliver(SchedulerFixture.id(1), 2));
+			assertThat(wide.answered(1, 1, 50)).as("answer of the loser").isEmpty();
+			assertThat(wide.scheduler.isIdle()).isTrue();
+		}
+	}
+
+	@Test
+	void waitsForTheHedgeWhenTheFirstAttemptBreaks() {
+		SchedulerFixture wide = new SchedulerFixture();
+		wide.withPolicy(new ServicePolicy(SchedulerFixture.SERVICE, SchedulerFixture.SERVICE, Urgency.URGENT, 1, 1,
+				true, false, 100, 0.1, true, Duration.ofMillis(10)))
+			.withEndpoints(4, 1, 1);
+		wide.offer(1, Urgency.URGENT, 1_000, true);
+		wide.advance(30);
+		assertThat(wide.completed(1, new AttemptResult.Broken(1))).isEmpty();
+		assertThat(wide.answered(1, 2, 10)).hasSize(1);
+	}
+
+}
