--- a/shards/src/test/java/io/lentilstream/shards/log/LogHarness.java
+++ b/shards/src/test/java/io/lentilstream/shards/log/LogHarness.java
@@ -13,6 +13,8 @@
 import io.lentilstream.platform.WriteOutcome;
 import io.lentilstream.shards.FakeStore;
 
+import static org.assertj.core.api.Assertions.assertThat;
+
 /**
  * Runs one shard log against the fake store and collects its events.
  */
@@ -24,10 +26,17 @@
 
 	final ShardLog log;
 
+	final long epoch;
+
 	final List<LogAction> events = new ArrayList<>();
 
 	final List<String> committed = new ArrayList<>();
 
+	/** What a user of the log knows: the recovered and the committed entries. */
+	final List<String> state = new ArrayList<>();
+
+	boolean answersSnapshots;
+
 	final Deque<LogAction> calls = new ArrayDeque<>();
 
 	long writes;
@@ -40,6 +49,7 @@
 
 	LogHarness(FakeStore store, ShardLogSettings settings, long epoch) {
 		this.store = store;
+		this.epoch = epoch;
 		this.log = new ShardLog(settings, SHARD, new Epoch(epoch), this.now);
 	}
 
@@ -64,7 +74,18 @@
 			}
 			this.events.add(action);
 			if (action instanceof LogAction.Committed done) {
-				done.tokens().forEach((token) -> this.committed.add(this.appended.get((int) (token - 1))));
+				List<String> entries = done.tokens()
+					.stream()
+					.map((token) -> this.appended.get((int) (token - 1)))
+					.toList();
+				this.committed.addAll(entries);
+				this.state.addAll(entries);
+			}
+			else if (action instanceof LogAction.Recovered) {
+				this.state.addAll(recovered());
+			}
+			else if (action instanceof LogAction.SnapshotNeeded needed && this.answersSnapshots) {
+				take(this.log.snapshot(this.now, needed.sequence(), bytes(String.join("\n", this.state))));
 			}
 		}
 	}
@@ -126,6 +147,15 @@
 		return this.events.stream().anyMatch(event);
 	}
 
+	/**
+	 * Checks that a later owner knows all entries that an earlier one committed, once and
+	 * in their order.
+	 */
+	void requireEntriesOf(LogHarness earlier) {
+		List<String> known = this.state.stream().filter(earlier.committed::contains).toList();
+		assertThat(known).isEqualTo(earlier.committed);
+	}
+
 	static byte[] bytes(String text) {
 		return text.getBytes(StandardCharsets.UTF_8);
 	}
--- a/shards/src/test/java/io/lentilstream/shards/ownership/OwnershipCluster.java
+++ b/shards/src/test/java/io/lentilstream/shards/ownership/OwnershipCluster.java
@@ -6,7 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Supplier;
 
+import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
@@ -30,6 +32,8 @@
 
 	final Map<String, Vm> vms = new TreeMap<>();
 
+	private final Map<ShardId, Epoch> epochs = new TreeMap<>();
+
 	MonotonicTime now = MonotonicTime.ofMillis(0);
 
 	OwnershipCluster(int shards) {
@@ -71,6 +75,14 @@
 		}
 	}
 
+	private void checkEpoch(OwnershipAction.ShardGained gained) {
+		Epoch last = this.epochs.put(gained.shard(), gained.epoch());
+		if (last != null && last.compareTo(gained.epoch()) >= 0) {
+			throw new AssertionError(
+					"epoch of shard " + gained.shard() + " went from " + last + " to " + gained.epoch());
+		}
+	}
+
 	int owned(String name) {
 		return this.vms.get(name).ownership.ownedShards().size();
 	}
@@ -98,8 +110,12 @@
 
 		private final double clockRate;
 
+		private final Deque<Reply> replies = new ArrayDeque<>();
+
 		boolean paused;
 
+		long replyDelayMillis;
+
 		boolean cutOff;
 
 		/** Applies the next write but loses its reply. */
@@ -121,19 +137,38 @@
 			return new MonotonicTime((long) (OwnershipCluster.this.now.nanos() * this.clockRate));
 		}
 
+		double clockRate() {
+			return this.clockRate;
+		}
+
 		void run() {
 			if (this.paused) {
 				return;
 			}
+			deliver();
 			take(this.ownership.tick(time()));
 			while (!this.calls.isEmpty()) {
 				step();
 			}
 		}
 
+		private void deliver() {
+			while (!this.replies.isEmpty() && !OwnershipCluster.this.now.isBefore(this.replies.peek().at())) {
+				take(this.replies.remove().outcome().get());
+			}
+		}
+
+		private void reply(Supplier<List<OwnershipAction>> outcome) {
+			this.replies.add(new Reply(OwnershipCluster.this.now.plusMillis(this.replyDelayMillis), outcome));
+		}
+
 		void take(List<OwnershipAction> actions) {
 			for (OwnershipAction action : actions) {
-				if (action instanceof OwnershipAction.PrepareRelease release) {
+				if (action instanceof OwnershipAction.ShardGained gained) {
+					OwnershipCluster.this.checkEpoch(gained);
+					this.events.add(action);
+				}
+				else if (action instanceof OwnershipAction.PrepareRelease release) {
 					this.events.add(action);
 					take(this.ownership.readyToRelease(time(), release.shard(), true));
 				}
@@ -147,6 +182,11 @@
 		}
 
 		void step() {
+			send();
+			deliver();
+		}
+
+		private void send() {
 			OwnershipAction call = this.calls.remove();
 			this.storeCalls++;
 			FakeStore store = OwnershipCluster.this.store;
@@ -165,28 +205,26 @@
 			}
 			else if (call instanceof OwnershipAction.ReadRecord read) {
 				ReadOutcome outcome = this.cutOff ? new ReadOutcome.Unavailable("cut off") : store.read(read.key());
-				take(this.ownership.completed(time(), read.id(), outcome));
+				reply(() -> this.ownership.completed(time(), read.id(), outcome));
 			}
 			else if (call instanceof OwnershipAction.ListRecords list) {
 				ListOutcome outcome = this.cutOff ? new ListOutcome.Unavailable("cut off") : store.list(list.prefix());
-				take(this.ownership.completed(time(), list.id(), outcome));
+				reply(() -> this.ownership.completed(time(), list.id(), outcome));
 			}
 		}
 
 		private void lease(long id, LeaseOutcome outcome) {
 			LeaseOutcome reply = (outcome != null) ? outcome : new LeaseOutcome.Unavailable("cut off");
-			take(this.ownership.completed(time(), id, reply));
+			reply(() -> this.ownership.completed(time(), id, reply));
 		}
 
 		private void write(OwnershipAction.WriteRecord write) {
-			WriteOutcome outcome = new WriteOutcome.ReplyLost("timeout");
-			if (!this.cutOff && !this.loseNextWrite) {
-				WriteOutcome applied = OwnershipCluster.this.store.write(write.write());
-				outcome = this.loseNextReply ? outcome : applied;
-			}
+			boolean applies = !this.cutOff && !this.loseNextWrite;
+			WriteOutcome applied = applies ? OwnershipCluster.this.store.write(write.write()) : null;
+			WriteOutcome outcome = (applies && !this.loseNextReply) ? applied : new WriteOutcome.ReplyLost("timeout");
 			this.loseNextReply = false;
 			this.loseNextWrite = false;
-			take(this.ownership.completed(time(), write.id(), outcome));
+			reply(() -> this.ownership.completed(time(), write.id(), outcome));
 		}
 
 		long count(Class<? extends OwnershipAction> type) {
@@ -201,4 +239,7 @@
 
 	}
 
+	private record Reply(MonotonicTime at, Supplier<List<OwnershipAction>> outcome) {
+	}
+
 }
