--- a/settings/src/main/java/io/lentilstream/settings/process/SettingsMessages.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/SettingsMessages.java
@@ -1,5 +1,8 @@
 package io.lentilstream.settings.process;
 
+import java.util.List;
+import java.util.stream.Collectors;
+
 import org.ini4j.InvalidFileFormatException;
 
 /**
@@ -29,6 +32,8 @@
 
 	static final String EXPECTED_LINE = "[section], key = value, or a comment that starts with # or ;";
 
+	static final String EXPECTED_SECTION_NAME = "a name of letters, digits, '.', '_', ':' or '-' after the first word";
+
 	private static final int LONGEST_QUOTE = 80;
 
 	private SettingsMessages() {
@@ -55,6 +60,10 @@
 		return "it beside " + other;
 	}
 
+	static String oneOfList(List<?> values) {
+		return "one of " + values.stream().map(Object::toString).collect(Collectors.joining(", "));
+	}
+
 	static String oneOf(String first, String second) {
 		return "either " + first + " or " + second;
 	}
