--- /dev/null
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoClient.java
@@ -0,0 +1,74 @@
+package io.lentilstream.cli.demo;
+
+import java.io.IOException;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import okhttp3.Call;
+import okhttp3.Callback;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+import okhttp3.Request;
+import okhttp3.RequestBody;
+import okhttp3.Response;
+
+/**
+ * Sends the requests of the demonstration.
+ */
+final class DemoClient implements AutoCloseable {
+
+	private static final int MOST_CALLS = 512;
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	private final OkHttpClient client;
+
+	DemoClient() {
+		Dispatcher dispatcher = new Dispatcher();
+		dispatcher.setMaxRequests(MOST_CALLS);
+		dispatcher.setMaxRequestsPerHost(MOST_CALLS);
+		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
+			.retryOnConnectionFailure(false)
+			.connectTimeout(500, TimeUnit.MILLISECONDS)
+			.readTimeout(15, TimeUnit.SECONDS)
+			.build();
+	}
+
+	CompletableFuture<DemoAnswer> send(String method, String url, Map<String, String> headers, byte[] body) {
+		RequestBody content = method.equals("GET") ? null : RequestBody.create(body);
+		Request.Builder request = new Request.Builder().url(url).method(method, content);
+		headers.forEach(request::header);
+		CompletableFuture<DemoAnswer> answer = new CompletableFuture<>();
+		this.client.newCall(request.build()).enqueue(new Callback() {
+
+			@Override
+			public void onFailure(Call call, IOException ex) {
+				answer.complete(new DemoAnswer(0, NO_BODY));
+			}
+
+			@Override
+			public void onResponse(Call call, Response response) {
+				answer.complete(read(response));
+			}
+
+		});
+		return answer;
+	}
+
+	private static DemoAnswer read(Response response) {
+		try (response) {
+			return new DemoAnswer(response.code(), response.body().bytes());
+		}
+		catch (IOException ex) {
+			return new DemoAnswer(0, NO_BODY);
+		}
+	}
+
+	@Override
+	public void close() {
+		this.client.dispatcher().executorService().shutdownNow();
+		this.client.connectionPool().evictAll();
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/io/lentilstream/cli/demo/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The demonstration: a small system on loopback under load and faults.
+ */
+package io.lentilstream.cli.demo;
--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -53,6 +53,7 @@
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
+import io.lentilstream.platform.StoreKey;
 import io.lentilstream.platform.VmEntry;
 import io.lentilstream.requests.RequestDefaults;
 import io.lentilstream.requests.RequestScheduler;
@@ -436,6 +437,15 @@
 		return this.metrics;
 	}
 
+	/**
+	 * Returns the revision of a settings document that is in force here.
+	 * @param document the path of the document
+	 * @return the revision; 0 if there is none
+	 */
+	public long revisionInForce(String document) {
+		return this.replica.revisionOf(new StoreKey(document)).value();
+	}
+
 	PeerTransport transport() {
 		return this.transport;
 	}
