Build the stand-in from its settings file

Cause: the demo and the command line start the stand-in from a settings file, with service times that vary as the workloads do. Change: Topology.of and StandinPlatform.of; service times with a spread and stragglers, drawn per endpoint from the seed. Conclusion: runs of the stand-in are repeatable by seed.

--- a/standin/src/main/java/io/lentilstream/standin/StandinEndpoint.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinEndpoint.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.random.RandomGenerator;
 
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.platform.http.PlatformMessages;
@@ -38,6 +39,8 @@
 
 	private final RunRecords records;
 
+	private final RandomGenerator random;
+
 	private final Runnable onLeave;
 
 	private final EndpointFaults faults = new EndpointFaults(this);
@@ -64,8 +67,10 @@
 
 	private long refusals;
 
-	StandinEndpoint(Topology.EndpointVm vm, TimerQueue timers, RunRecords records, Runnable onLeave) {
+	StandinEndpoint(Topology.EndpointVm vm, TimerQueue timers, RunRecords records, RandomGenerator random,
+			Runnable onLeave) {
 		this.vm = vm;
+		this.random = random;
 		this.timers = timers;
 		this.records = records;
 		this.onLeave = onLeave;
@@ -180,11 +185,15 @@
 		long nanos = request.headerValue(SERVICE_MILLIS)
 			.filter((text) -> text.matches("\\d{1,9}"))
 			.map((text) -> Duration.ofMillis(Long.parseLong(text)))
-			.orElse(this.vm.serviceTime())
+			.orElseGet(this::drawServiceTime)
 			.toNanos();
 		return Duration.ofNanos(Math.round(nanos * this.faults.slowness()));
 	}
 
+	private synchronized Duration drawServiceTime() {
+		return this.vm.serviceTimes().draw(this.random);
+	}
+
 	private void finish(StandinRequest request, String id, Optional<String> key, EndpointFault fault,
 			Consumer<Reply> answer) {
 		if (fault == EndpointFault.HANGS) {
--- a/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
@@ -3,12 +3,14 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.SplittableRandom;
 
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.MonotonicClock;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.VmId;
 import io.lentilstream.platform.VmEntry;
+import io.lentilstream.settings.process.StandinSettings;
 
 /**
  * Runs a stand-in of the whole platform on one port of this process.
@@ -67,8 +69,9 @@
 		for (Topology.WorkerVm vm : topology.workers()) {
 			this.workers.put(vm.vm(), new StandinWorker(vm, this.timers, this.records, topology.usageLag()));
 		}
+		SplittableRandom random = new SplittableRandom(topology.seed());
 		for (Topology.EndpointVm vm : topology.endpoints()) {
-			this.endpoints.put(vm.endpoint(), new StandinEndpoint(vm, this.timers, this.records,
+			this.endpoints.put(vm.endpoint(), new StandinEndpoint(vm, this.timers, this.records, random.split(),
 					() -> this.directory.markLeaving(new VmId(vm.endpoint().value()))));
 		}
 		this.faults = new StandinFaults(storeFaults, this.directory, this.workers, this.endpoints);
@@ -85,6 +88,16 @@
 		};
 	}
 
+	/**
+	 * Creates a platform from a settings file.
+	 * @param settings the settings
+	 * @param clock decides all times of the platform
+	 * @return the platform
+	 */
+	public static StandinPlatform of(StandinSettings settings, MonotonicClock clock) {
+		return new StandinPlatform(Topology.of(settings), clock, settings.listen().host(), settings.listen().port());
+	}
+
 	/**
 	 * Starts to listen.
 	 */
--- a/standin/src/main/java/io/lentilstream/standin/StandinRouter.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinRouter.java
@@ -3,6 +3,7 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import io.lentilstream.model.Identifiers;
 import io.lentilstream.platform.http.PlatformMessages.ErrorAnswer;
 
 /**
@@ -25,7 +26,7 @@
 		String path = request.path();
 		int end = path.indexOf('/', 1);
 		String first = path.substring(1, (end > 0) ? end : path.length());
-		RequestHandler handler = this.handlers.apply(first);
+		RequestHandler handler = Identifiers.isValid(first) ? this.handlers.apply(first) : null;
 		if (handler == null) {
 			answer.accept(notFound());
 			return;
