Keep the stand-in's timers alive when a caller closed its connection

Cause: a raw reply to a closed connection found no channel context; the exception ended the only timer thread, so nothing ran after the first killed daemon. Ruled out: the daemons, whose leases and logs went on. Change: such a reply is dropped.

--- a/standin/src/main/java/io/lentilstream/standin/ReplyWriter.java
+++ b/standin/src/main/java/io/lentilstream/standin/ReplyWriter.java
@@ -30,9 +30,13 @@
 			channel.close();
 			return;
 		}
-		ByteBuf bytes = bytesOf(reply);
 		// The first context writes past the HTTP encoder, which would refuse raw bytes.
 		ChannelHandlerContext first = channel.pipeline().firstContext();
+		if (first == null) {
+			// The caller closed the connection while the request ran.
+			return;
+		}
+		ByteBuf bytes = bytesOf(reply);
 		if (reply.delivery() == Reply.Delivery.TWICE) {
 			first.writeAndFlush(Unpooled.wrappedBuffer(bytes, bytes.retainedDuplicate()));
 			return;
