--- a/cli/src/main/java/io/lentilstream/cli/CommandTable.java
+++ b/cli/src/main/java/io/lentilstream/cli/CommandTable.java
@@ -4,6 +4,13 @@
 import java.util.Map;
 import java.util.function.Supplier;
 
+import io.lentilstream.cli.admin.ConfigCommand;
+import io.lentilstream.cli.admin.DrainCommand;
+import io.lentilstream.cli.admin.RequestsCommand;
+import io.lentilstream.cli.admin.StatusCommand;
+import io.lentilstream.cli.admin.TasksCommand;
+import io.lentilstream.cli.admin.TeamsCommand;
+
 /**
  * Lists the commands by name. A new command is one more line in {@link #standard()}.
  */
@@ -12,7 +19,16 @@
 	private final Map<String, Supplier<Command>> commands = new LinkedHashMap<>();
 
 	static CommandTable standard() {
-		return new CommandTable().with("check", CheckCommand::new).with("standin", StandinCommand::new);
+		return new CommandTable().with("demo", DemoCommand::new)
+			.with("entry", EntryCommand::new)
+			.with("standin", StandinCommand::new)
+			.with("check", CheckCommand::new)
+			.with("config", ConfigCommand::new)
+			.with("teams", TeamsCommand::new)
+			.with("tasks", TasksCommand::new)
+			.with("requests", RequestsCommand::new)
+			.with("status", StatusCommand::new)
+			.with("drain", DrainCommand::new);
 	}
 
 	CommandTable with(String name, Supplier<Command> command) {
--- a/cli/src/main/java/io/lentilstream/cli/LogSetup.java
+++ b/cli/src/main/java/io/lentilstream/cli/LogSetup.java
@@ -46,6 +46,17 @@
 		}
 	}
 
+	/**
+	 * Leaves the terminal to a command that prints its own progress.
+	 */
+	static void onlyErrors() {
+		LoggerContext context = (LoggerContext) LoggerFactory.getILoggerFactory();
+		context.getLogger(org.slf4j.Logger.ROOT_LOGGER_NAME).setLevel(Level.ERROR);
+		for (String name : QUIET) {
+			context.getLogger(name).setLevel(Level.ERROR);
+		}
+	}
+
 	private static Encoder<ILoggingEvent> textEncoder() {
 		PatternLayoutEncoder encoder = new PatternLayoutEncoder();
 		encoder.setPattern(PATTERN);
--- /dev/null
+++ b/cli/src/main/java/io/lentilstream/cli/admin/DrainCommand.java
@@ -0,0 +1,26 @@
+package io.lentilstream.cli.admin;
+
+import java.io.IOException;
+
+import com.beust.jcommander.Parameters;
+import com.fasterxml.jackson.databind.node.JsonNodeFactory;
+
+/**
+ * Starts the graceful shutdown of an entry VM.
+ */
+@Parameters(commandDescription = "Start the graceful shutdown of the entry VM")
+public final class DrainCommand extends QueryCommand {
+
+	/**
+	 * Creates the command.
+	 */
+	public DrainCommand() {
+		super("/admin/drain");
+	}
+
+	@Override
+	AdminClient.Answer call(AdminClient client, String target) throws IOException {
+		return client.post(target, JsonNodeFactory.instance.objectNode());
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/io/lentilstream/cli/admin/TeamsCommand.java
@@ -0,0 +1,18 @@
+package io.lentilstream.cli.admin;
+
+import com.beust.jcommander.Parameters;
+
+/**
+ * Shows the teams of the settings in force.
+ */
+@Parameters(commandDescription = "Show the teams of the settings in force")
+public final class TeamsCommand extends QueryCommand {
+
+	/**
+	 * Creates the command.
+	 */
+	public TeamsCommand() {
+		super("/admin/teams");
+	}
+
+}
--- /dev/null
+++ b/cli/src/main/java/io/lentilstream/cli/admin/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Commands that talk to the administration API of an entry VM.
+ */
+package io.lentilstream.cli.admin;
--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -398,6 +398,14 @@
 		return this.drained;
 	}
 
+	/**
+	 * Returns when a graceful shutdown ended, whoever began it.
+	 * @return completes when the process may end
+	 */
+	public CompletableFuture<Void> drained() {
+		return this.drained;
+	}
+
 	private void awaitIdle(MonotonicTime limit) {
 		boolean late = this.clock.now().isAfter(limit);
 		if (this.requests.pendingCount() > 0 && !late) {
