Fix the name of a command in its help

Change: the name is set only when the help is printed. Conclusion: the help shows the whole command line.

--- a/cli/src/main/java/io/lentilstream/cli/CommandLine.java
+++ b/cli/src/main/java/io/lentilstream/cli/CommandLine.java
@@ -32,7 +32,6 @@
 		commands.forEach((name, command) -> {
 			helps.put(name, new Help());
 			parser.addCommand(name, List.of(command, helps.get(name)));
-			parser.getCommands().get(name).setProgramName(PROGRAM + " " + name);
 		});
 		try {
 			parser.parse(arguments);
@@ -42,7 +41,9 @@
 		}
 		String name = parser.getParsedCommand();
 		if (name != null && helps.get(name).requested) {
-			return printUsage(parser.getCommands().get(name));
+			JCommander commandParser = parser.getCommands().get(name);
+			commandParser.setProgramName(PROGRAM + " " + name);
+			return printUsage(commandParser);
 		}
 		if (help.requested) {
 			return printUsage(parser);
