Refuse new keyed work while the store is slow, and crash a busy worker in the demonstration

Cause: in a store outage, callers of keyed requests waited until it ended; the demonstration crashed an idle worker, so no task had to resume. Change: an entry that waits over 1 s makes its shard refuse new work; a call without an outcome after 8 s is told unknown. The demonstration crashes a worker that runs tasks together with the owner of its shard.

--- a/cli/src/main/java/io/lentilstream/cli/demo/Demo.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/Demo.java
@@ -10,7 +10,6 @@
 import java.util.concurrent.TimeUnit;
 
 import io.lentilstream.model.EndpointId;
-import io.lentilstream.model.VmId;
 import io.lentilstream.platform.TaskReport;
 import io.lentilstream.standin.EndpointFault;
 import io.lentilstream.standin.OutageMode;
@@ -31,6 +30,12 @@
 
 	private static final int REQUESTS_PER_SECOND = 200;
 
+	private static final int DRAINED_REQUESTS = 100;
+
+	private static final int SHORT_TIMEOUT_REQUESTS = 300;
+
+	private static final long SHORT_TIMEOUT_MILLIS = 12;
+
 	private final PrintStream out;
 
 	private final Properties properties = new Properties();
@@ -63,7 +68,7 @@
 			Thread.sleep(500);
 			urgent.start(REQUESTS_PER_SECOND);
 			payments.start();
-			jobs.submit("ledgers", "batch", 24, "sleep:2500ms", 2);
+			jobs.submit("ledgers", "batch", 24, "sleep:3000ms", 2);
 			progress("sends urgent requests, payments and batch jobs");
 			injectFaults(cluster, operator, urgent, jobs);
 			urgent.stop();
@@ -124,12 +129,13 @@
 		Thread.sleep(500);
 		cluster.members().get(1).kill();
 		progress("killed %s", cluster.members().get(1).vm());
-		cluster.platform().faults().worker(new VmId(DemoNames.ZONES.get(1) + "-worker-0")).crash();
-		progress("crashed a worker");
-		Thread.sleep(3_500);
+		crashBusyWorker(cluster);
+		Thread.sleep(4_000);
 		cluster.platform().faults().store().startOutage(OutageMode.CLOSES);
 		progress("store outage begins");
-		Thread.sleep(2_000);
+		Thread.sleep(1_200);
+		urgent.burstWithTimeout(SHORT_TIMEOUT_REQUESTS, SHORT_TIMEOUT_MILLIS);
+		Thread.sleep(800);
 		cluster.platform().faults().store().endOutage();
 		progress("store outage ends");
 		Thread.sleep(1_500);
@@ -142,13 +148,27 @@
 		jobs.submit("proofs", "urgent", 6, "sleep:300ms", 2);
 		progress("an endpoint leaves; urgent tasks submitted");
 		Thread.sleep(1_500);
-		urgent.burst(400);
-		CompletableFuture<Void> drained = cluster.members().get(2).drain();
-		progress("%s drains under a burst", cluster.members().get(2).vm());
-		Thread.sleep(2_500);
+		DemoCluster.Member leaving = cluster.members().get(2);
+		CompletableFuture<Void> answered = urgent.burst(leaving, DRAINED_REQUESTS);
+		CompletableFuture<Void> drained = leaving.drain();
+		progress("%s drains with %d requests in flight", leaving.vm(), DRAINED_REQUESTS);
+		Thread.sleep(2_000);
+		this.properties.gracefulStop.check(answered.isDone(), "requests in flight at the drain have no answer");
 		this.properties.gracefulStop.check(drained.isDone(), "the drain did not end");
 	}
 
+	private void crashBusyWorker(DemoCluster cluster) {
+		for (List<TaskRun> runs : cluster.platform().records().taskRuns().values()) {
+			TaskRun last = runs.get(runs.size() - 1);
+			if (last.until().isEmpty()) {
+				cluster.platform().faults().worker(last.vm()).crash();
+				progress("crashed %s, which ran tasks", last.vm());
+				return;
+			}
+		}
+		progress("no worker runs a task, so none was crashed");
+	}
+
 	private io.lentilstream.standin.EndpointFaults endpoint(DemoCluster cluster, int zone, int index) {
 		return cluster.platform().faults().endpoint(new EndpointId(DemoNames.ZONES.get(zone) + "-endpoint-" + index));
 	}
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoCluster.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoCluster.java
@@ -103,8 +103,8 @@
 						Duration.ofMillis(500)),
 				new Secret(DemoNames.PEER_KEY), new Secret(DemoNames.ADMINISTRATOR_KEY),
 				new EntrySettings.Limits(900_000, 8_000_000, 16_000, 1_000_000, 10_000, 4_096, 10_000, 4_096),
-				new EntrySettings.Leases(Duration.ofSeconds(3), Duration.ofSeconds(1), Duration.ofSeconds(3),
-						Duration.ofMillis(500), Duration.ofSeconds(30)),
+				new EntrySettings.Leases(Duration.ofSeconds(3), Duration.ofSeconds(1), Duration.ofSeconds(5),
+						Duration.ofMillis(500), Duration.ofSeconds(2)),
 				new EntrySettings.Shards(SHARDS_PER_ZONE, REQUEST_SHARDS, Duration.ofMillis(20)), LogFormat.TEXT);
 	}
 
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoUrgentLoad.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoUrgentLoad.java
@@ -1,9 +1,12 @@
 package io.lentilstream.cli.demo;
 
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -32,6 +35,8 @@
 
 	private final Map<String, Boolean> refusedKeys = new ConcurrentHashMap<>();
 
+	private final AtomicLong scheduled = new AtomicLong();
+
 	private final AtomicLong sent = new AtomicLong();
 
 	private final AtomicLong ended = new AtomicLong();
@@ -50,21 +55,49 @@
 		this.timer.scheduleAtFixedRate(() -> sendOne(origin, interval), 0, interval, TimeUnit.NANOSECONDS);
 	}
 
-	void burst(int requests) {
+	/**
+	 * Sends requests at once to one entry VM that is about to drain. Each must get an
+	 * answer, not a broken connection.
+	 * @param member the entry VM
+	 * @param requests the number of requests
+	 * @return completes when all have their answer
+	 */
+	CompletableFuture<Void> burst(DemoCluster.Member member, int requests) {
+		List<CompletableFuture<DemoAnswer>> answers = new ArrayList<>();
 		for (int i = 0; i < requests; i++) {
-			sendOne(System.nanoTime(), 0);
+			answers.add(send(member.url(), TIMEOUT_MILLIS, System.nanoTime()));
+		}
+		answers.forEach((answer) -> answer.thenAccept((told) -> this.properties.gracefulStop
+			.check(told.isOk() || told.isNotRun(), "a request in flight at the drain got " + told.outcome())));
+		return CompletableFuture.allOf(answers.toArray(CompletableFuture[]::new));
+	}
+
+	/**
+	 * Sends requests whose deadline is so close that some must be refused.
+	 * @param requests the number of requests
+	 * @param timeoutMillis the timeout of each, in milliseconds
+	 */
+	void burstWithTimeout(int requests, long timeoutMillis) {
+		for (int i = 0; i < requests; i++) {
+			send(this.cluster.pick(), timeoutMillis, System.nanoTime());
 		}
 	}
 
 	private void sendOne(long origin, long interval) {
+		long intended = Math.min(origin + this.scheduled.getAndIncrement() * interval, System.nanoTime());
+		send(this.cluster.pick(), TIMEOUT_MILLIS, intended);
+	}
+
+	private CompletableFuture<DemoAnswer> send(String entryVm, long timeoutMillis, long intended) {
 		long number = this.sent.getAndIncrement();
-		long intended = (interval > 0) ? Math.min(origin + number * interval, System.nanoTime()) : origin;
 		String key = "urgent-" + number;
 		byte[] body = ("body of " + key).getBytes(StandardCharsets.UTF_8);
 		Map<String, String> headers = Map.of("Idempotency-Key", key, "Lentilstream-Timeout-Ms",
-				Long.toString(TIMEOUT_MILLIS));
-		String url = this.cluster.pick() + "/services/" + DemoNames.TEAM + "/" + DemoNames.SERVICE + "/confirm";
-		this.client.send("POST", url, headers, body).thenAccept((answer) -> answered(key, body, intended, answer));
+				Long.toString(timeoutMillis));
+		String url = entryVm + "/services/" + DemoNames.TEAM + "/" + DemoNames.SERVICE + "/confirm";
+		CompletableFuture<DemoAnswer> sending = this.client.send("POST", url, headers, body);
+		sending.thenAccept((answer) -> answered(key, body, intended, answer));
+		return sending;
 	}
 
 	private void answered(String key, byte[] body, long intended, DemoAnswer answer) {
--- a/entry/src/main/java/io/lentilstream/entry/shards/LogDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/LogDriver.java
@@ -2,7 +2,8 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
-import java.util.HashMap;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executor;
@@ -11,6 +12,7 @@
 
 import io.lentilstream.entry.timer.WakeUpTimer;
 import io.lentilstream.model.MonotonicClock;
+import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.platform.StoreClient;
 import io.lentilstream.shards.log.LogAction;
 import io.lentilstream.shards.log.ShardLog;
@@ -27,6 +29,13 @@
 	 */
 	public static final int MAX_APPEND_BYTES = 200_000;
 
+	/**
+	 * Age of an entry that is not durable from which new work is refused. The store
+	 * answers in milliseconds; with its writes budget used up, commits are some hundred
+	 * milliseconds apart.
+	 */
+	private static final long SLOW_STORE_MILLIS = 1_000;
+
 	private static final Runnable NO_ACTION = () -> {
 	};
 
@@ -42,7 +51,7 @@
 
 	private final WakeUpTimer timer;
 
-	private final Map<Long, Append> inFlight = new HashMap<>();
+	private final Map<Long, Append> inFlight = new LinkedHashMap<>();
 
 	/**
 	 * Appends that the log refused because its queue was full, in order. They describe
@@ -106,7 +115,7 @@
 
 	private void appendPart(List<byte[]> entries, Runnable committed) {
 		this.lastToken++;
-		Append append = new Append(this.lastToken, List.copyOf(entries), committed, null);
+		Append append = new Append(this.lastToken, List.copyOf(entries), committed, null, this.clock.now());
 		if (!this.waiting.isEmpty()) {
 			this.waiting.add(append);
 			return;
@@ -126,7 +135,7 @@
 			return;
 		}
 		this.lastToken++;
-		offer(new Append(this.lastToken, entries, committed, refused));
+		offer(new Append(this.lastToken, entries, committed, refused, this.clock.now()));
 	}
 
 	/**
@@ -134,7 +143,14 @@
 	 * @return {@code true} if new work may be accepted
 	 */
 	public boolean acceptsNewWork() {
-		return !this.closed && this.log.isOpen() && this.waiting.isEmpty();
+		return !this.closed && this.log.isOpen() && this.waiting.isEmpty() && !isStoreSlow();
+	}
+
+	// New work is refused while an earlier entry waits for the store, since its caller
+	// would wait as long.
+	private boolean isStoreSlow() {
+		Iterator<Append> oldest = this.inFlight.values().iterator();
+		return oldest.hasNext() && oldest.next().appendedAt().plusMillis(SLOW_STORE_MILLIS).isBefore(this.clock.now());
 	}
 
 	/**
@@ -261,7 +277,8 @@
 		this.timer.close();
 	}
 
-	private record Append(long token, List<byte[]> entries, Runnable committed, Runnable refused) {
+	private record Append(long token, List<byte[]> entries, Runnable committed, Runnable refused,
+			MonotonicTime appendedAt) {
 	}
 
 	private record PendingSnapshot(long sequence, long lastToken, byte[] bytes) {
--- a/entry/src/main/java/io/lentilstream/entry/work/OwnerRouter.java
+++ b/entry/src/main/java/io/lentilstream/entry/work/OwnerRouter.java
@@ -3,6 +3,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 
 import io.lentilstream.entry.peers.PeerRequestForwarder;
@@ -24,6 +25,11 @@
 
 	private static final long TIMEOUT_MILLIS = 10_000;
 
+	/**
+	 * Shorter than the timeout of a forwarded call, so that the peer's answer arrives.
+	 */
+	private static final long LOCAL_TIMEOUT_MILLIS = 8_000;
+
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
 	private final Function<OwnerCall, ShardId> shardOf;
@@ -58,7 +64,7 @@
 		ShardId shard = this.shardOf.apply(call);
 		Optional<OwnerCallHandler> owner = this.local.apply(shard);
 		if (owner.isPresent()) {
-			return owner.get().handle(call);
+			return handleHere(owner.get(), call);
 		}
 		Optional<VmId> peer = this.ownerOf.apply(shard);
 		if (peer.isEmpty()) {
@@ -75,10 +81,17 @@
 	 */
 	public CompletableFuture<RequestOutcome> handleForwarded(OwnerCall call) {
 		return this.local.apply(this.shardOf.apply(call))
-			.map((owner) -> owner.handle(call))
+			.map((owner) -> handleHere(owner, call))
 			.orElseGet(() -> CompletableFuture.completedFuture(ownerUnavailable()));
 	}
 
+	// The entry may become durable after the store answers again, so the outcome is open.
+	private static CompletableFuture<RequestOutcome> handleHere(OwnerCallHandler owner, OwnerCall call) {
+		return owner.handle(call)
+			.completeOnTimeout(new RequestOutcome.Unknown(new RequestId(call.key().value())), LOCAL_TIMEOUT_MILLIS,
+					TimeUnit.MILLISECONDS);
+	}
+
 	private CompletableFuture<RequestOutcome> forward(VmId peer, OwnerCall call) {
 		RequestId id = this.ids.next();
 		PeerMessage.ForwardRequest message = new PeerMessage.ForwardRequest(id, call.team(), Optional.empty(),
