Fix endpoints that return while paused, quotas, wake-ups and attempt limits

A timer of a removed endpoint removed the endpoint that had been added again under the same id, so its slots were counted twice after the next update. A team without quota was held back while its attempts at lost endpoints exceeded the slots that were left. Batch work that waited for the reserve was only looked at again at the next event. Refusals by peers used up the attempts of a retry. Each wake-up took the lock of every pool.

--- a/requests/src/main/java/io/lentilstream/requests/FairShareRule.java
+++ b/requests/src/main/java/io/lentilstream/requests/FairShareRule.java
@@ -27,8 +27,7 @@
 		TeamQueue best = null;
 		double bestUse = 0;
 		for (TeamQueue team : teams) {
-			if (team.waiting(urgency).isEmpty() || team.inUse() >= team.slotLimit(capacity)
-					|| passedOver.contains(team)) {
+			if (team.waiting(urgency).isEmpty() || team.atQuota(capacity) || passedOver.contains(team)) {
 				continue;
 			}
 			double use = team.inUse() / team.weight();
--- a/requests/src/main/java/io/lentilstream/requests/HedgeRule.java
+++ b/requests/src/main/java/io/lentilstream/requests/HedgeRule.java
@@ -27,8 +27,7 @@
 
 	static boolean mayHedge(Ticket ticket, long now, boolean overloaded, int free, int slots) {
 		return appliesTo(ticket) && ticket.open.size() == 1 && !overloaded && free >= MIN_FREE_SHARE * slots
-				&& ticket.attempts < RetryRule.MAX_ATTEMPTS && ticket.budget.available()
-				&& RetryRule.hasTime(ticket, now);
+				&& !ticket.hedged && ticket.budget.available() && RetryRule.hasTime(ticket, now);
 	}
 
 }
--- a/requests/src/main/java/io/lentilstream/requests/RequestScheduler.java
+++ b/requests/src/main/java/io/lentilstream/requests/RequestScheduler.java
@@ -154,7 +154,11 @@
 	 */
 	public List<RequestAction> tick(MonotonicTime now) {
 		List<RequestAction> actions = new ArrayList<>();
-		this.shards.values().forEach((shard) -> actions.addAll(shard.tick(now)));
+		for (ServiceShard shard : this.shards.values()) {
+			if (shard.nextWakeUp().filter((at) -> !at.isAfter(now)).isPresent()) {
+				actions.addAll(shard.tick(now));
+			}
+		}
 		return actions;
 	}
 
--- a/requests/src/main/java/io/lentilstream/requests/RetryRule.java
+++ b/requests/src/main/java/io/lentilstream/requests/RetryRule.java
@@ -22,7 +22,7 @@
 	 * @return {@code true} if it may run again
 	 */
 	static boolean mayRunAgain(Ticket ticket, long now, boolean overloaded) {
-		return ticket.repeatable && !overloaded && ticket.attempts < MAX_ATTEMPTS && ticket.budget.available()
+		return ticket.repeatable && !overloaded && ticket.brokenAttempts < MAX_ATTEMPTS && ticket.budget.available()
 				&& hasTime(ticket, now);
 	}
 
--- a/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
+++ b/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
@@ -36,6 +36,14 @@
 	/** Time left, in medians of the run time, that a request must have to be a probe. */
 	private static final int PROBE_MEDIANS = 8;
 
+	/** Prefers every peer with a free slot to waiting here during a drain. */
+	private static final long DRAIN_WAIT_NANOS = Long.MAX_VALUE - 1;
+
+	/** How soon batch work is looked at again that waits for the urgent reserve. */
+	private static final long RECHECK_NANOS = 50_000_000L;
+
+	private static final long NEVER = Long.MAX_VALUE;
+
 	private static final long NO_ENDPOINT_RETRY_MILLIS = 1_000;
 
 	private final ServiceKey key;
@@ -78,6 +86,10 @@
 
 	private long sequence;
 
+	private volatile long nextWakeUpNanos = NEVER;
+
+	private boolean recheckScheduled;
+
 	private boolean draining;
 
 	private boolean drainEnded;
@@ -194,9 +206,13 @@
 		return finish();
 	}
 
-	synchronized Optional<MonotonicTime> nextWakeUp() {
-		TimerQueue.Timer first = this.timers.first();
-		return (first != null) ? Optional.of(new MonotonicTime(first.at())) : Optional.empty();
+	/**
+	 * Returns the instant at which {@link #tick} has something to do, without the lock.
+	 * @return the instant, or empty if nothing is due
+	 */
+	Optional<MonotonicTime> nextWakeUp() {
+		long at = this.nextWakeUpNanos;
+		return (at != NEVER) ? Optional.of(new MonotonicTime(at)) : Optional.empty();
 	}
 
 	synchronized ServiceSnapshot snapshot(MonotonicTime time) {
@@ -223,9 +239,24 @@
 		fireTimers();
 		this.reserve.observe(this.now, this.counters.urgentInUse + this.counters.queued(Urgency.URGENT));
 		dispatchQueued();
+		scheduleRecheck();
+		TimerQueue.Timer first = this.timers.first();
+		this.nextWakeUpNanos = (first != null) ? first.at() : NEVER;
 		return this.actions;
 	}
 
+	/**
+	 * Wakes the pool up when batch work waits beside free slots: the reserve shrinks with
+	 * time, without any event.
+	 */
+	private void scheduleRecheck() {
+		boolean waits = this.counters.allQueued() > this.counters.queued(Urgency.URGENT) && this.ledger.free() > 0;
+		if (waits && !this.recheckScheduled) {
+			this.recheckScheduled = true;
+			this.timers.schedule(this.now + RECHECK_NANOS, () -> this.recheckScheduled = false);
+		}
+	}
+
 	private void fireTimers() {
 		for (Runnable task = this.timers.pollDue(this.now); task != null; task = this.timers.pollDue(this.now)) {
 			task.run();
@@ -290,6 +321,7 @@
 				this.control.failed(this.now, attempt);
 			}
 			ticket.mayHaveRun = true;
+			ticket.brokenAttempts++;
 			if (attempt.peer != null) {
 				end(attempt);
 			}
@@ -520,6 +552,7 @@
 		Endpoint endpoint = this.ledger.choose(this.random, List.of(attempt.endpoint));
 		if (endpoint != null) {
 			ticket.budget.spend();
+			ticket.hedged = true;
 			this.counters.hedged++;
 			dispatch(ticket, endpoint, false);
 		}
@@ -552,7 +585,7 @@
 	private void forwardQueued(TeamQueue team, Urgency urgency) {
 		while (!team.waiting(urgency).isEmpty()) {
 			Ticket ticket = team.waiting(urgency).first();
-			if (!forwards(ticket, this.draining ? Long.MAX_VALUE : waitNanos(ticket))) {
+			if (!forwards(ticket, this.draining ? DRAIN_WAIT_NANOS : waitNanos(ticket))) {
 				return;
 			}
 			dequeue(ticket);
@@ -577,8 +610,7 @@
 	}
 
 	private boolean atQuota(TeamQueue team) {
-		int limit = team.slotLimit(this.ledger.capacity());
-		return limit < this.ledger.capacity() && team.inUse() >= limit;
+		return team.atQuota(this.ledger.capacity());
 	}
 
 	/**
--- a/requests/src/main/java/io/lentilstream/requests/SlotLedger.java
+++ b/requests/src/main/java/io/lentilstream/requests/SlotLedger.java
@@ -71,7 +71,8 @@
 			this.probeReady.remove(endpoint);
 		}
 		if (!endpoint.owned && endpoint.inUse == 0) {
-			this.endpoints.remove(endpoint.id);
+			// A timer may change an endpoint that was removed and added again meanwhile.
+			this.endpoints.remove(endpoint.id, endpoint);
 		}
 	}
 
--- a/requests/src/main/java/io/lentilstream/requests/TeamQueue.java
+++ b/requests/src/main/java/io/lentilstream/requests/TeamQueue.java
@@ -64,12 +64,13 @@
 	}
 
 	/**
-	 * Returns how many slots the team may use.
+	 * Tells whether the team uses all slots of its quota. Without a quota it never does,
+	 * even if attempts at lost endpoints exceed the slots that are left.
 	 * @param capacity the slots of the pool
-	 * @return slots, at least 1
+	 * @return {@code true} if the team may take no further slot
 	 */
-	int slotLimit(int capacity) {
-		return Math.max(1, (int) Math.floor(this.quota * capacity));
+	boolean atQuota(int capacity) {
+		return this.quota < 1 && this.inUse >= Math.max(1, (int) Math.floor(this.quota * capacity));
 	}
 
 }
--- a/requests/src/main/java/io/lentilstream/requests/Ticket.java
+++ b/requests/src/main/java/io/lentilstream/requests/Ticket.java
@@ -59,6 +59,10 @@
 
 	int attempts;
 
+	int brokenAttempts;
+
+	boolean hedged;
+
 	int refusals;
 
 	Ticket(IncomingRequest request, ServicePolicy policy, RunTimeGroup group, RetryBudget budget, TeamQueue team,
--- a/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
@@ -154,6 +154,49 @@
 		assertThat(this.fixture.scheduler.inFlightByEndpoint()).isEmpty();
 	}
 
+	@Test
+	void doesNotCountAnEndpointTwiceThatReturnsWhileItIsPaused() {
+		this.fixture = new SchedulerFixture().withEndpoints(1, 1, 1);
+		this.fixture.offerUrgent(1);
+		this.fixture.completed(1, new AttemptResult.Refused(1, false));
+		OwnedEndpoint entry = this.fixture.endpoints.remove(FIRST);
+		this.fixture.updateEndpoints();
+		this.fixture.endpoints.put(FIRST, entry);
+		this.fixture.updateEndpoints();
+		this.fixture.advance(5);
+		this.fixture.updateEndpoints();
+		this.fixture.fill(10, 3);
+		assertThat(this.fixture.snapshot().slots()).isEqualTo(1);
+	}
+
+	@Test
+	void sendsNoProbeWhileBrokenAttemptsHoldAllSlots() {
+		this.fixture = new SchedulerFixture().withEndpoints(1, 3, 3);
+		for (int i = 0; i < 3; i++) {
+			this.fixture.offer(i, Urgency.URGENT, 10_000, false);
+		}
+		for (int i = 0; i < 3; i++) {
+			this.fixture.completed(i, new AttemptResult.Broken(1));
+		}
+		this.fixture.advance(EndpointHealth.FIRST_PROBE_NANOS / 1_000_000);
+		assertThat(this.fixture.offer(10, Urgency.URGENT, 60_000, true))
+			.noneMatch(RequestAction.Dispatch.class::isInstance);
+		assertThat(this.fixture.advance(9_050)).as("probe when the slots are released")
+			.containsExactly(new RequestAction.Dispatch(SchedulerFixture.id(10), 1, FIRST,
+					this.fixture.now.plusMillis(60_000 - 9_050)));
+	}
+
+	@Test
+	void startsWorkAtNewEndpointsWhileAttemptsAtLostOnesHang() {
+		this.fixture.fill(0, 16);
+		this.fixture.endpoints.clear();
+		EndpointId added = SchedulerFixture.endpoint(9);
+		this.fixture.endpoints.put(added,
+				new OwnedEndpoint(added, SchedulerFixture.SERVICE, 2, 2, false, OptionalInt.of(0)));
+		this.fixture.updateEndpoints();
+		assertThat(this.fixture.offerUrgent(20)).hasSize(1);
+	}
+
 	private boolean dispatchedToFirst(int number) {
 		return this.fixture.offerUrgent(number)
 			.stream()
--- a/requests/src/test/java/io/lentilstream/requests/QueueingTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/QueueingTests.java
@@ -87,6 +87,8 @@
 			this.fixture.offer(i, Urgency.BATCH, 60_000, true);
 		}
 		assertThat(this.fixture.snapshot().inFlight()).as("batch after the peak").isBetween(20, 30);
+		assertThat(this.fixture.scheduler.nextWakeUp())
+			.hasValueSatisfying((at) -> assertThat(this.fixture.now.millisUntil(at)).isLessThanOrEqualTo(50));
 		for (int i = 0; i < 100; i++) {
 			this.fixture.advance(100);
 		}
