--- a/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
@@ -169,6 +169,15 @@
 		assertThat(this.fixture.snapshot().slots()).isEqualTo(1);
 	}
 
+	@Test
+	void countsABrokenAttemptOnceHoweverOftenItIsReported() {
+		this.fixture.offer(1, Urgency.URGENT, 10_000, false);
+		for (int i = 0; i < 5; i++) {
+			this.fixture.completed(1, new AttemptResult.Broken(1));
+		}
+		assertThat(this.fixture.snapshot().slots()).isEqualTo(16);
+	}
+
 	@Test
 	void sendsNoProbeWhileBrokenAttemptsHoldAllSlots() {
 		this.fixture = new SchedulerFixture().withEndpoints(1, 3, 3);
