--- a/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
+++ b/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
@@ -166,6 +166,9 @@
 		else if (!attempt.awaited) {
 			this.counters.discarded++;
 			if (!(result instanceof AttemptResult.Broken)) {
+				if (attempt.endpoint != null && result instanceof AttemptResult.Refused refused && refused.leaving()) {
+					this.control.refused(this.now, attempt, true);
+				}
 				end(attempt);
 			}
 		}
--- a/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
@@ -52,6 +52,16 @@
 		assertThat(inFlightAtFirstOf(8)).as("probe after the hold").isEqualTo(1);
 	}
 
+	@Test
+	void givesNoWorkToAnEndpointThatRefusesAsLeavingAfterItsAttemptBroke() {
+		while (!dispatchedToFirst(this.next)) {
+			this.fixture.answered(this.next++, 1, NORMAL_MILLIS);
+		}
+		this.fixture.completed(this.next, new AttemptResult.Broken(1));
+		this.fixture.completed(this.next++, new AttemptResult.Refused(1, true));
+		assertThat(shareOfFirst(40, NORMAL_MILLIS)).isZero();
+	}
+
 	static Stream<Arguments> faults() {
 		return Stream.of(
 				Arguments.of("five times slower",
