Report all mistakes of a file with unreadable lines

Cause: the parser stops at the first line that it cannot read, so later mistakes were not reported; a missing file was reported as three mistakes, and a misspelled section also as missing keys. Change: an unreadable line is reported by its number, repaired or dropped, and the file is parsed again; the text of the line is not shown, since it can hold a key. Conclusion: one run of the check is enough to correct a file.

--- a/settings/src/main/java/io/lentilstream/settings/process/IniEntries.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/IniEntries.java
@@ -9,6 +9,8 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 import org.ini4j.Config;
 import org.ini4j.InvalidFileFormatException;
@@ -21,27 +23,65 @@
  * @param sections the sections
  * @param entries the entries
  * @param repeatedSections the sections that start more than once
+ * @param unreadableLines numbers of the lines that are neither a section nor an entry nor
+ * a comment, from 1
  */
-record IniEntries(Set<String> sections, List<Entry> entries, Set<String> repeatedSections) {
+record IniEntries(Set<String> sections, List<Entry> entries, Set<String> repeatedSections,
+		Set<Integer> unreadableLines) {
+
+	private static final Pattern LINE_NUMBER = Pattern.compile("\\(at line: (\\d+)\\)");
+
+	private static final Pattern SECTION_START = Pattern.compile("\\s*\\[\\s*([A-Za-z][^\\]\\[]*).*");
 
 	/**
 	 * Reads a file.
 	 * @param file the file
 	 * @return the entries
-	 * @throws InvalidFileFormatException if a line is neither a section nor an entry
 	 * @throws IOException if the file cannot be read
 	 */
 	static IniEntries read(Path file) throws IOException {
+		String[] lines = Files.readString(file, StandardCharsets.UTF_8).split("\n", -1);
+		Set<Integer> unreadable = new LinkedHashSet<>();
+		// The parser stops at the first line that it cannot read, so it is started again
+		// until every such line is repaired or dropped.
+		while (true) {
+			Collector collector = new Collector();
+			try {
+				IniParser.newInstance(config()).parse(new StringReader(String.join("\n", lines)), collector);
+				return new IniEntries(collector.sections, collector.entries, collector.repeated, unreadable);
+			}
+			catch (InvalidFileFormatException ex) {
+				int number = lineNumber(ex);
+				lines[number - 1] = unreadable.add(number) ? repaired(lines[number - 1]) : "";
+			}
+		}
+	}
+
+	private static Config config() {
 		Config config = new Config();
 		config.setEscape(false);
+		config.setEscapeNewline(false);
 		config.setEmptyOption(true);
 		config.setEmptySection(true);
 		config.setGlobalSection(true);
 		config.setGlobalSectionName("");
-		Collector collector = new Collector();
-		String text = Files.readString(file, StandardCharsets.UTF_8);
-		IniParser.newInstance(config).parse(new StringReader(text), collector);
-		return new IniEntries(collector.sections, collector.entries, collector.repeated);
+		return config;
+	}
+
+	private static int lineNumber(InvalidFileFormatException ex) {
+		Matcher matcher = LINE_NUMBER.matcher(String.valueOf(ex.getMessage()));
+		if (!matcher.find()) {
+			throw new IllegalStateException("the parser names no line", ex);
+		}
+		return Integer.parseInt(matcher.group(1));
+	}
+
+	// Keeps the name of a section whose line is wrong, so that the keys below it are
+	// still
+	// checked.
+	private static String repaired(String line) {
+		Matcher matcher = SECTION_START.matcher(line);
+		return matcher.matches() ? "[" + matcher.group(1).trim() + "]" : "";
 	}
 
 	/**
--- a/settings/src/main/java/io/lentilstream/settings/process/SettingsMessages.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/SettingsMessages.java
@@ -3,8 +3,6 @@
 import java.util.List;
 import java.util.stream.Collectors;
 
-import org.ini4j.InvalidFileFormatException;
-
 /**
  * Holds the texts of mistakes in settings files.
  */
@@ -39,8 +37,8 @@
 	private SettingsMessages() {
 	}
 
-	static String unreadableLine(InvalidFileFormatException ex) {
-		return "a line that cannot be read (" + ex.getMessage() + ")";
+	static String unreadableLine(int number) {
+		return "line " + number + ", which cannot be read";
 	}
 
 	static String nearest(String name) {
--- a/settings/src/main/java/io/lentilstream/settings/process/SettingsValues.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/SettingsValues.java
@@ -12,8 +12,6 @@
 import java.util.Set;
 import java.util.function.Supplier;
 
-import org.ini4j.InvalidFileFormatException;
-
 /**
  * Reads a file by a settings table and collects all mistakes.
  */
@@ -29,6 +27,8 @@
 
 	private Set<String> sections = Set.of();
 
+	private boolean readable = true;
+
 	private SettingsValues(Path file, List<SettingKey<?>> table) {
 		this.file = file.toString();
 		this.table = table;
@@ -39,10 +39,8 @@
 		try {
 			values.check(IniEntries.read(file));
 		}
-		catch (InvalidFileFormatException ex) {
-			values.mistake("", "", SettingsMessages.unreadableLine(ex), SettingsMessages.EXPECTED_LINE);
-		}
 		catch (IOException ex) {
+			values.readable = false;
 			values.mistake("", "", SettingsMessages.UNREADABLE_FILE, SettingsMessages.EXPECTED_FILE);
 		}
 		return values;
@@ -50,12 +48,19 @@
 
 	private void check(IniEntries entries) {
 		this.sections = entries.sections();
+		for (int number : entries.unreadableLines()) {
+			mistake("", "", SettingsMessages.unreadableLine(number), SettingsMessages.EXPECTED_LINE);
+		}
+		// A section whose name is probably misspelled is not reported as missing as well.
+		Set<String> misspelled = new LinkedHashSet<>();
 		for (String section : entries.sections()) {
 			if (keysOf(section).isEmpty()) {
-				mistake(section, "", SettingsMessages.UNKNOWN_SECTION,
-						SettingsMessages.nearest(NearestName.of(section, sectionNames())));
+				String nearest = NearestName.of(section, sectionNames());
+				mistake(section, "", SettingsMessages.UNKNOWN_SECTION, SettingsMessages.nearest(nearest));
+				misspelled.add(nearest);
 			}
 		}
+		misspelled.removeAll(entries.sections());
 		for (String section : entries.repeatedSections()) {
 			mistake(section, "", SettingsMessages.REPEATED_SECTION, SettingsMessages.EXPECTED_ONCE);
 		}
@@ -69,7 +74,9 @@
 		}
 		for (SettingKey<?> key : this.table) {
 			for (String section : sectionsOf(key)) {
-				addMissing(section, key, seen);
+				if (!misspelled.contains(section)) {
+					addMissing(section, key, seen);
+				}
 			}
 		}
 	}
@@ -179,7 +186,7 @@
 		boolean wrong = this.mistakes.stream()
 			.anyMatch((mistake) -> mistake.section().equals(inline.section())
 					&& (mistake.key().equals(inline.name()) || mistake.key().equals(fileKey.name())));
-		if (wrong) {
+		if (wrong || !this.readable) {
 			return null;
 		}
 		if ((secret == null) == (path == null)) {
--- a/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
@@ -81,7 +81,7 @@
 	private RequestHandler part(String name) {
 		return switch (name) {
 			case "store" -> this.storeRoutes;
-			case "directory" -> this.directory;
+			case "directory" -> this.directory::handle;
 			case "workers" -> new StandinRouter((id) -> this.workers.get(new VmId(id)));
 			case "endpoints" -> new StandinRouter((id) -> this.endpoints.get(new EndpointId(id)));
 			default -> null;
