Free the contract tests of wall-clock verdicts

Cause: cases that expect an answer had a client that gives up after 100 ms or 500 ms, so a busy machine could turn them red. Change: only cases in which no answer can come use a short timeout, on a connection that is open already; the stalled connection and the hanging store have tests of their own, with the exact outcome. Conclusion: the verdicts no longer depend on the speed of the machine.

--- a/standin/src/test/java/io/lentilstream/standin/EndpointContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/EndpointContractTests.java
@@ -76,12 +76,13 @@
 	@ParameterizedTest
 	@CsvSource({ "HANGS", "ANSWERS_LATE" })
 	void reportsARequestWithoutAnAnswerInTimeAsBroken(EndpointFault fault) {
+		send("r-0", Map.of("Standin-Service-Ms", "0"));
 		this.faults.answerLate(Duration.ofHours(1));
 		this.faults.next(fault, 1);
 		EndpointRequest request = request("r-1", Optional.empty(), Map.of("Standin-Service-Ms", "0"), 200);
 		assertThat(StandinFixture.get(this.endpoints.send(StandinFixture.ENDPOINT, request)))
 			.isEqualTo(new EndpointOutcome.Broken("timeout"));
-		assertThat(this.fixture.endpointRecord().runs()).isEqualTo(1);
+		this.fixture.awaitRuns(2);
 		this.fixture.pass(Duration.ofHours(1));
 		assertThat(send("r-2", Map.of("Standin-Service-Ms", "0"))).isInstanceOf(EndpointOutcome.Answered.class);
 	}
--- a/standin/src/test/java/io/lentilstream/standin/StandinFixture.java
+++ b/standin/src/test/java/io/lentilstream/standin/StandinFixture.java
@@ -51,7 +51,7 @@
 	final HttpCalls calls = new HttpCalls(
 			HttpClientSettings.DEFAULTS.withCallTimeout(Duration.ofSeconds(GUARD_SECONDS)));
 
-	final HttpCalls shortCalls = new HttpCalls(HttpClientSettings.DEFAULTS.withCallTimeout(Duration.ofMillis(100)));
+	final HttpCalls shortCalls = new HttpCalls(HttpClientSettings.DEFAULTS.withCallTimeout(Duration.ofMillis(200)));
 
 	final StoreCallMeter meter = new StoreCallMeter();
 
@@ -69,15 +69,27 @@
 		return new HttpStoreClient(this.calls, this.platform.storeUrl(), client, this.meter);
 	}
 
+	/**
+	 * Returns a client that gives up soon, for cases in which no answer can come. Its
+	 * connection is open already, so a slow machine does not turn "sent" into "not sent".
+	 * @return the client
+	 */
 	HttpStoreClient impatientStore() {
+		openConnection();
 		return new HttpStoreClient(this.shortCalls, this.platform.storeUrl(), "impatient", this.meter);
 	}
 
+	private void openConnection() {
+		HttpVmDirectory directory = new HttpVmDirectory(this.shortCalls, this.platform.directoryUrl());
+		Awaitility.await().until(() -> get(directory.list(ZONE)).isPresent());
+	}
+
 	HttpWorkerClient workers() {
 		return new HttpWorkerClient(this.calls, this.platform::workerUrl);
 	}
 
 	HttpWorkerClient impatientWorkers() {
+		openConnection();
 		return new HttpWorkerClient(this.shortCalls, this.platform::workerUrl);
 	}
 
--- a/standin/src/test/java/io/lentilstream/standin/StoreContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/StoreContractTests.java
@@ -121,12 +121,10 @@
 		};
 		return Stream.of(fault("refusing outage", (faults) -> faults.startOutage(OutageMode.REFUSES), "NotWritten", 0),
 				fault("closing outage", (faults) -> faults.startOutage(OutageMode.CLOSES), "ReplyLost", 0),
-				fault("hanging outage", (faults) -> faults.startOutage(OutageMode.HANGS), "ReplyLost", 0),
-				fault("partition", (faults) -> faults.partition("impatient", OutageMode.CLOSES), "ReplyLost", 0),
+				fault("partition", (faults) -> faults.partition("vm-1", OutageMode.CLOSES), "ReplyLost", 0),
 				fault("other client's partition", (faults) -> faults.partition("vm-2", OutageMode.CLOSES), "Written",
 						1),
 				fault("lost reply", (faults) -> faults.loseReplies(1), "ReplyLost", 1),
-				fault("slow", (faults) -> faults.delay(Duration.ofSeconds(1)), "ReplyLost", 0),
 				fault("none", none, "Written", 1));
 	}
 
@@ -138,15 +136,21 @@
 	@MethodSource("faults")
 	void statesExactlyWhatIsKnownAboutAWrite(String name, Consumer<StoreFaults> fault, String outcome, int applied) {
 		fault.accept(this.fixture.platform.faults().store());
-		HttpStoreClient impatient = this.fixture.impatientStore();
-		assertThat(
-				StandinFixture.get(impatient.write(StoreWrite.put(KEY, StandinFixture.bytes("a"), StoreWrite.ABSENT)))
-					.getClass()
-					.getSimpleName())
+		assertThat(write(StoreWrite.put(KEY, StandinFixture.bytes("a"), StoreWrite.ABSENT)).getClass().getSimpleName())
 			.isEqualTo(outcome);
 		assertThat(this.fixture.platform.storeContents()).hasSize(applied);
 	}
 
+	@Test
+	void reportsAWriteToAHangingStoreAsLost() {
+		HttpStoreClient impatient = this.fixture.impatientStore();
+		this.fixture.platform.faults().store().startOutage(OutageMode.HANGS);
+		assertThat(
+				StandinFixture.get(impatient.write(StoreWrite.put(KEY, StandinFixture.bytes("a"), StoreWrite.ABSENT))))
+			.isEqualTo(new WriteOutcome.ReplyLost("timeout"));
+		assertThat(this.fixture.platform.storeContents()).isEmpty();
+	}
+
 	@Test
 	void appliesAWriteOfASlowStoreAfterItsClientGaveUp() {
 		this.fixture.platform.faults().store().delay(Duration.ofSeconds(1));
--- a/standin/src/test/java/io/lentilstream/standin/WorkerContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/WorkerContractTests.java
@@ -153,9 +153,11 @@
 	@ParameterizedTest(name = "{0}")
 	@MethodSource("faults")
 	void statesExactlyWhatIsKnownAboutAStart(String name, Consumer<WorkerFaults> fault, String outcome, int starts) {
+		boolean answers = !name.equals("silent") && !name.equals("crashed");
+		WorkerClient client = answers ? this.workers : this.fixture.impatientWorkers();
 		fault.accept(this.fixture.platform.faults().worker(StandinFixture.WORKER));
-		WorkerOutcome result = StandinFixture.get(this.fixture.impatientWorkers()
-			.start(StandinFixture.WORKER, SHARD, EPOCH, task(TASK, "sleep:60s", null), LEASE));
+		WorkerOutcome result = StandinFixture
+			.get(client.start(StandinFixture.WORKER, SHARD, EPOCH, task(TASK, "sleep:60s", null), LEASE));
 		assertThat(result.getClass().getSimpleName()).isEqualTo(outcome);
 		assertThat(this.fixture.platform.records().workers().get(StandinFixture.WORKER).starts()).isEqualTo(starts);
 		if (result instanceof WorkerOutcome.Done done) {
