--- a/settings/src/main/java/io/lentilstream/settings/process/SettingsValues.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/SettingsValues.java
@@ -230,7 +230,8 @@
 	 */
 	<A> void require(SettingKey<A> key, A value, Object other, Supplier<Boolean> valid, String expected) {
 		if (value != null && other != null && !valid.get()) {
-			mistake(key.section(), key.name(), SettingsMessages.quoted(value.toString()), expected);
+			String text = this.texts.get(List.of(key.section(), key.name()));
+			mistake(key.section(), key.name(), SettingsMessages.quoted(text), expected);
 		}
 	}
 
--- a/standin/src/main/java/io/lentilstream/standin/TimerQueue.java
+++ b/standin/src/main/java/io/lentilstream/standin/TimerQueue.java
@@ -9,6 +9,8 @@
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 
+import com.google.common.flogger.FluentLogger;
+
 import io.lentilstream.model.MonotonicClock;
 import io.lentilstream.model.MonotonicTime;
 
@@ -17,6 +19,8 @@
  */
 final class TimerQueue {
 
+	private static final FluentLogger LOGGER = FluentLogger.forEnclosingClass();
+
 	/**
 	 * Longest wait for the next look at the clock, in nanoseconds. An injected clock can
 	 * jump, so the thread cannot sleep until the due time of its first timer.
@@ -98,7 +102,17 @@
 		finally {
 			this.lock.unlock();
 		}
-		due.forEach(Runnable::run);
+		due.forEach(TimerQueue::run);
+	}
+
+	// A failed action must not end the thread on which all later ones run.
+	private static void run(Runnable action) {
+		try {
+			action.run();
+		}
+		catch (RuntimeException ex) {
+			LOGGER.atWarning().withCause(ex).log("standin: a timer failed");
+		}
 	}
 
 	private void loop() {
