--- a/cli/src/main/java/io/lentilstream/cli/admin/ConfigCommand.java
+++ b/cli/src/main/java/io/lentilstream/cli/admin/ConfigCommand.java
@@ -100,12 +100,12 @@
 		if (isInForce(report)) {
 			return ExitCode.SUCCESS;
 		}
-		context.err().println("config: accepted, but not reported in force everywhere yet");
+		context.err().println("config: accepted, but some entry VMs are behind");
 		return ExitCode.FAILED;
 	}
 
 	private static boolean isInForce(AdminClient.Answer report) {
-		return report.isOk() && report.body().path("behind").isEmpty() && report.body().path("unknown").isEmpty();
+		return report.isOk() && report.body().path("behind").isEmpty();
 	}
 
 	private ObjectNode edits(List<String> rest, boolean set) {
--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -45,6 +45,7 @@
 import io.lentilstream.entry.work.OwnerRouter;
 import io.lentilstream.entry.work.RecordCallHandler;
 import io.lentilstream.membership.LocalState;
+import io.lentilstream.membership.PeerAddress;
 import io.lentilstream.membership.PeerView;
 import io.lentilstream.membership.SettingsReplica;
 import io.lentilstream.model.AvailabilityZoneId;
@@ -226,6 +227,7 @@
 	public void start() {
 		this.transport.listen(new InetSocketAddress(this.settings.peer().host(), this.settings.peer().port()));
 		this.peers.start(this.transport, this.threads.timers());
+		this.peers.perform(this.view.configured(this.clock.now(), configuredPeers()));
 		this.directory.start(this.threads.timers(), this.settings.platform().listInterval().toMillis());
 		every(TICK_MILLIS, this::tickRequests);
 		every(REPORT_MILLIS, this::updatePeerReports);
@@ -237,6 +239,14 @@
 					this.settings.http());
 	}
 
+	private List<PeerAddress> configuredPeers() {
+		return this.settings.peers()
+			.stream()
+			.filter((peer) -> !peer.vm().equals(this.settings.vm()))
+			.map((peer) -> new PeerAddress(peer.vm(), peer.zone(), peer.address().toString()))
+			.toList();
+	}
+
 	private void every(long millis, Runnable task) {
 		this.threads.timers().scheduleAtFixedRate(() -> {
 			try {
--- a/entry/src/main/java/io/lentilstream/entry/http/EntryServer.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/EntryServer.java
@@ -1,5 +1,6 @@
 package io.lentilstream.entry.http;
 
+import java.util.Locale;
 import java.util.function.Consumer;
 
 import io.jooby.Context;
@@ -41,6 +42,7 @@
 		this.app.setExecutionMode(ExecutionMode.EVENT_LOOP);
 		this.app.setStartupSummary(java.util.List.of());
 		this.app.error(EntryServer::sendError);
+		this.app.before(EntryServer::refuseForm);
 	}
 
 	/**
@@ -59,6 +61,16 @@
 		this.server.start(this.app);
 	}
 
+	// The server decodes forms itself and does not keep their bytes, so passing them on
+	// would lose the body.
+	private static void refuseForm(Context context) {
+		String type = context.header("Content-Type").value("").toLowerCase(Locale.ROOT);
+		if (type.startsWith("application/x-www-form-urlencoded") || type.startsWith("multipart/form-data")) {
+			HttpAnswers.send(context,
+					ProblemDetails.simple("unsupported-media-type", 415, "Forms are not passed on", HttpMessages.FORM));
+		}
+	}
+
 	private static void sendError(Context context, Throwable cause, StatusCode code) {
 		int status = code.value();
 		ProblemDetails problem = switch (status) {
--- a/entry/src/main/java/io/lentilstream/entry/http/HttpMessages.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/HttpMessages.java
@@ -26,6 +26,8 @@
 
 	static final String BODY_TOO_LARGE = "The body is larger than the limit.";
 
+	static final String FORM = "The request was not run. Send the body with another content type than a form.";
+
 	static final String NO_ROUTE = "There is nothing under this path.";
 
 	static final String INTERNAL = "The entry daemon could not handle the request.";
--- /dev/null
+++ b/entry/src/test/java/io/lentilstream/entry/records/RecordShardDriverTests.java
@@ -0,0 +1,170 @@
+package io.lentilstream.entry.records;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+
+import org.junit.jupiter.api.Test;
+
+import io.lentilstream.entry.fakes.FakeEndpoints;
+import io.lentilstream.entry.fakes.FakeStore;
+import io.lentilstream.entry.fakes.ManualTimers;
+import io.lentilstream.entry.requests.ForwardOutcome;
+import io.lentilstream.entry.requests.RequestDriver;
+import io.lentilstream.entry.requests.RequestIds;
+import io.lentilstream.model.EndpointId;
+import io.lentilstream.model.Epoch;
+import io.lentilstream.model.IdempotencyKey;
+import io.lentilstream.model.KindName;
+import io.lentilstream.model.NotRunReason;
+import io.lentilstream.model.RequestOutcome;
+import io.lentilstream.model.ServiceName;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.model.TeamId;
+import io.lentilstream.model.Urgency;
+import io.lentilstream.model.VmId;
+import io.lentilstream.platform.EndpointOutcome;
+import io.lentilstream.platform.KeyOutcome;
+import io.lentilstream.requests.OwnedEndpoint;
+import io.lentilstream.requests.RequestDefaults;
+import io.lentilstream.requests.RequestScheduler;
+import io.lentilstream.requests.ServiceKey;
+import io.lentilstream.requests.ServicePolicy;
+import io.lentilstream.requests.records.RecordKey;
+import io.lentilstream.requests.records.RequestRecordSettings;
+import io.lentilstream.requests.records.RequestRecords;
+import io.lentilstream.shards.log.ShardLog;
+import io.lentilstream.shards.log.ShardLogSettings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a keyed request that runs twice, is lost, or is told wrongly, over the
+ * store, the endpoints and a change of owner.
+ */
+class RecordShardDriverTests {
+
+	private static final ServiceKey SERVICE = new ServiceKey(new TeamId("t"), new ServiceName("s"));
+
+	private static final KindName KIND = new KindName("payment");
+
+	private static final RecordKey KEY = new RecordKey(new TeamId("t"), new IdempotencyKey("k"));
+
+	private static final ShardId SHARD = new ShardId("region", 0);
+
+	private static final long KEEP_MILLIS = 600_000;
+
+	private final ManualTimers timers = new ManualTimers();
+
+	private final FakeStore store = new FakeStore();
+
+	private final FakeEndpoints endpoints = FakeEndpoints.echoing();
+
+	private RecordShardDriver open(long epoch) {
+		RequestScheduler scheduler = new RequestScheduler(RequestDefaults.standard(), () -> new Random(7));
+		RequestDriver requests = new RequestDriver(scheduler, this.endpoints, (peer, attempt, request, content,
+				deadline) -> CompletableFuture.completedFuture(new ForwardOutcome.NotSent("no peer")), this.timers);
+		requests.perform(scheduler.updatePolicies(this.timers.now(),
+				List.of(ServicePolicy.of(SERVICE, Urgency.URGENT, Duration.ofMillis(10)))));
+		requests.perform(scheduler.updateEndpoints(this.timers.now(),
+				List.of(new OwnedEndpoint(new EndpointId("e" + epoch), SERVICE, 2, 4, false, OptionalInt.of(0)))));
+		this.timers.scheduleAtFixedRate(requests::tick, 10, 10, TimeUnit.MILLISECONDS);
+		RecordShardDriver driver = new RecordShardDriver(SHARD,
+				new RequestRecords(RequestRecordSettings.defaults(), SHARD, new Epoch(epoch)),
+				new ShardLog(ShardLogSettings.defaults(), SHARD, new Epoch(epoch), this.timers.now()),
+				new RecordShardDriver.Environment(this.store, this.endpoints, requests,
+						(team, kind) -> Optional.of(new WorkKind(SERVICE, 1_000, KEEP_MILLIS)),
+						new RequestIds(new VmId("entry-" + epoch), epoch), this.timers, this.timers),
+				Runnable::run);
+		this.timers.advance(Duration.ofSeconds(1));
+		return driver;
+	}
+
+	private WorkOutcome offer(RecordShardDriver driver, String body) {
+		CompletableFuture<WorkOutcome> outcome = driver.offer(KEY, KIND, body.getBytes(), KEEP_MILLIS);
+		this.timers.advance(Duration.ofSeconds(3));
+		return outcome.getNow(null);
+	}
+
+	@Test
+	void recordsARequestRunsItOnceAndKeepsItsAnswer() {
+		RecordShardDriver driver = open(1);
+		assertThat(offer(driver, "pay")).isEqualTo(told(new RequestOutcome.Accepted(KEY.key())));
+		assertThat(offer(driver, "pay"))
+			.isEqualTo(told(new RequestOutcome.Answered(200, "text/plain", "pay".getBytes())));
+		assertThat(driver.look(KEY).join())
+			.isEqualTo(told(new RequestOutcome.Answered(200, "text/plain", "pay".getBytes())));
+		assertThat(this.endpoints.sent()).hasSize(1);
+	}
+
+	@Test
+	void tellsAConflictForTheSameKeyWithAnotherBody() {
+		RecordShardDriver driver = open(1);
+		offer(driver, "pay");
+		assertThat(offer(driver, "pay more")).isInstanceOf(WorkOutcome.Conflict.class);
+		assertThat(this.endpoints.sent()).hasSize(1);
+	}
+
+	@Test
+	void refusesNewKeysInAStoreOutageAndTellsKnownOnesTheirState() {
+		RecordShardDriver driver = open(1);
+		offer(driver, "pay");
+		this.store.setDown(true);
+		driver.offer(new RecordKey(KEY.team(), new IdempotencyKey("first")), KIND, new byte[0], KEEP_MILLIS);
+		this.timers.advance(Duration.ofSeconds(2));
+		WorkOutcome refused = driver
+			.offer(new RecordKey(KEY.team(), new IdempotencyKey("second")), KIND, new byte[0], KEEP_MILLIS)
+			.getNow(null);
+		assertThat(refused).isEqualTo(told(new RequestOutcome.NotRun(NotRunReason.STORE_UNAVAILABLE, 1_000)));
+		assertThat(offer(driver, "pay"))
+			.isEqualTo(told(new RequestOutcome.Answered(200, "text/plain", "pay".getBytes())));
+		assertThat(this.endpoints.sent()).hasSize(1);
+	}
+
+	@Test
+	void tellsUnknownToCallersWhoseShardIsLostBeforeTheEntryIsDurable() {
+		RecordShardDriver driver = open(1);
+		this.store.setDown(true);
+		CompletableFuture<WorkOutcome> outcome = driver.offer(KEY, KIND, new byte[0], KEEP_MILLIS);
+		driver.close();
+		assertThat(((WorkOutcome.Told) outcome.join()).outcome()).isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
+	@Test
+	void asksTheEndpointAfterATakeoverInsteadOfRunningARequestAgain() {
+		this.endpoints.answer((request) -> null);
+		RecordShardDriver first = open(1);
+		offer(first, "pay");
+		assertThat(this.endpoints.sent()).hasSize(1);
+		this.endpoints.knowsKeyAs(new KeyOutcome.Ran(200, "text/plain", "paid".getBytes()));
+		RecordShardDriver second = open(2);
+		this.timers.advance(Duration.ofSeconds(5));
+		assertThat(second.look(KEY).join())
+			.isEqualTo(told(new RequestOutcome.Answered(200, "text/plain", "paid".getBytes())));
+		assertThat(this.endpoints.sent()).hasSize(1);
+	}
+
+	@Test
+	void sendsARequestAgainOnlyAfterTheEndpointSealedTheEarlierAttempt() {
+		this.endpoints.answer((request) -> new EndpointOutcome.Broken("cut"));
+		this.endpoints.knowsKeyAs(new KeyOutcome.Running());
+		RecordShardDriver driver = open(1);
+		offer(driver, "pay");
+		assertThat(this.endpoints.sent()).hasSize(1);
+		this.endpoints.knowsKeyAs(new KeyOutcome.Unseen());
+		this.endpoints.answer((request) -> new EndpointOutcome.Answered(200, "text/plain", request.body()));
+		this.timers.advance(Duration.ofSeconds(30));
+		assertThat(driver.look(KEY).join())
+			.isEqualTo(told(new RequestOutcome.Answered(200, "text/plain", "pay".getBytes())));
+		assertThat(this.endpoints.sent()).hasSize(2);
+	}
+
+	private static WorkOutcome told(RequestOutcome outcome) {
+		return new WorkOutcome.Told(outcome);
+	}
+
+}
--- a/settings/src/main/java/io/lentilstream/settings/process/EntrySettings.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/EntrySettings.java
@@ -15,7 +15,7 @@
  * @param region the region of the zone
  * @param http where callers and operators connect
  * @param peer where other entry VMs connect
- * @param peers addresses of other entry VMs; the address of this VM may be among them
+ * @param peers other entry VMs; this VM may be among them
  * @param platform how to reach the platform
  * @param peerKey the key that entry VMs prove to each other
  * @param administratorKey the key of the administrator
@@ -25,7 +25,7 @@
  * @param logFormat the layout of log lines
  */
 public record EntrySettings(VmId vm, AvailabilityZoneId zone, String region, HostPort http, HostPort peer,
-		List<HostPort> peers, Platform platform, Secret peerKey, Secret administratorKey, Limits limits, Leases leases,
+		List<PeerEntry> peers, Platform platform, Secret peerKey, Secret administratorKey, Limits limits, Leases leases,
 		Shards shards, LogFormat logFormat) {
 
 	/**
--- a/settings/src/main/java/io/lentilstream/settings/process/EntrySettingsTable.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/EntrySettingsTable.java
@@ -40,9 +40,9 @@
 	private static final SettingKey<Integer> PEER_PORT = SettingKey.optional("listen", "peer-port",
 			ValueTypes.port(true), "7070", "Port that other entry VMs connect to; 0 chooses a free port.");
 
-	private static final SettingKey<List<HostPort>> PEERS = SettingKey.optional("peers", "addresses",
-			ValueTypes.list(ValueTypes.address(), 0), "",
-			"Peer addresses of other entry VMs. More are found in the platform's list of VMs.");
+	private static final SettingKey<List<PeerEntry>> PEERS = SettingKey.optional("peers", "entry-vms",
+			ValueTypes.list(ValueTypes.peer(), 0), "",
+			"Other entry VMs, such as entry-2 zone-a 10.0.0.2:7070. More are found in the platform's list of VMs; these are also known in a zone that is cut off from the platform.");
 
 	private static final SettingKey<String> BASE_URL = SettingKey.required("platform", "base-url", ValueTypes.baseUrl(),
 			"Base URL of the platform; the store is at /store and the list of VMs at /directory.");
@@ -154,7 +154,7 @@
 	}
 
 	private static EntrySettings build(SettingsValues values, Secret peerKey, Secret administratorKey) {
-		List<HostPort> peers = values.get(PEERS);
+		List<PeerEntry> peers = values.get(PEERS);
 		return new EntrySettings(values.get(VM), values.get(ZONE), values.get(REGION),
 				new HostPort(values.get(HTTP_HOST), values.get(HTTP_PORT)),
 				new HostPort(values.get(PEER_HOST), values.get(PEER_PORT)), (peers != null) ? peers : List.of(),
--- a/settings/src/main/java/io/lentilstream/settings/process/ValueTypes.java
+++ b/settings/src/main/java/io/lentilstream/settings/process/ValueTypes.java
@@ -12,7 +12,9 @@
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 
+import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.Identifiers;
+import io.lentilstream.model.VmId;
 
 /**
  * Makes the value types of the settings tables.
@@ -125,6 +127,20 @@
 		return port(false).parse(text.substring(colon + 1)).map((port) -> new HostPort(text.substring(0, colon), port));
 	}
 
+	static ValueType<PeerEntry> peer() {
+		return of("a VM id, its zone and host:port, separated by spaces, with a port from 1 to " + MAX_PORT,
+				ValueTypes::parsePeer);
+	}
+
+	private static Optional<PeerEntry> parsePeer(String text) {
+		String[] parts = text.split(" +");
+		if (parts.length != 3 || !Identifiers.isValid(parts[0]) || !Identifiers.isValid(parts[1])) {
+			return Optional.empty();
+		}
+		return parseAddress(parts[2])
+			.map((address) -> new PeerEntry(new VmId(parts[0]), new AvailabilityZoneId(parts[1]), address));
+	}
+
 	static ValueType<String> baseUrl() {
 		return of("a URL such as http://10.0.0.1:8080", (text) -> {
 			Matcher matcher = BASE_URL.matcher(text);
