--- a/requests/src/test/java/io/lentilstream/requests/ForwardingTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/ForwardingTests.java
@@ -152,7 +152,9 @@
 		wide.withPolicy(new ServicePolicy(SchedulerFixture.SERVICE, SchedulerFixture.SERVICE, Urgency.URGENT, 1, 1,
 				true, false, 100, 0.1, allowed, Duration.ofMillis(10)))
 			.withEndpoints(10, 1, 1);
-		wide.fill(10, others);
+		for (int i = 10; i < 10 + others; i++) {
+			wide.offer(i, Urgency.URGENT, 60_000, false);
+		}
 		wide.offer(1, Urgency.URGENT, 1_000, repeatable);
 		List<RequestAction> actions = wide.advance(30);
 		assertThat(actions.stream().anyMatch((action) -> action.request().equals(SchedulerFixture.id(1))))
--- a/requests/src/test/java/io/lentilstream/requests/RequestLinearizabilityTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/RequestLinearizabilityTests.java
@@ -66,8 +66,8 @@
 	@Test
 	void isLinearizable() {
 		new StressOptions().iterations(10)
-			.invocationsPerIteration(100)
-			.threads(2)
+			.invocationsPerIteration(300)
+			.threads(3)
 			.actorsPerThread(3)
 			.check(RequestLinearizabilityTests.class);
 	}
--- a/requests/src/test/java/io/lentilstream/requests/SchedulerFixture.java
+++ b/requests/src/test/java/io/lentilstream/requests/SchedulerFixture.java
@@ -30,6 +30,9 @@
 
 	static final ServiceKey SERVICE = key("team-a");
 
+	/** More than any test needs; ends a test that waits for what never happens. */
+	private static final int MAX_EVENTS = 20_000;
+
 	static final VmId PEER = new VmId("peer-1");
 
 	final RequestScheduler scheduler = new RequestScheduler(RequestDefaults.standard(), () -> new SplittableRandom(7));
@@ -55,6 +58,8 @@
 
 	final Set<Integer> cancelledIds = new HashSet<>();
 
+	private int events;
+
 	private final Map<RequestId, MonotonicTime> deadlines = new HashMap<>();
 
 	private final Set<RequestId> mayHaveRun = new HashSet<>();
@@ -184,6 +189,7 @@
 	}
 
 	List<RequestAction> check(List<RequestAction> actions) {
+		assertThat(++this.events).as("events of a test that should have ended").isLessThan(MAX_EVENTS);
 		this.holding.values().removeIf((end) -> !end.isAfter(this.now));
 		this.refusedAsLeaving.values().removeIf((end) -> !end.isAfter(this.now));
 		for (RequestAction action : actions) {
