--- a/requests/src/main/java/io/lentilstream/requests/records/RecordAction.java
+++ b/requests/src/main/java/io/lentilstream/requests/records/RecordAction.java
@@ -20,7 +20,8 @@
 
 	/**
 	 * Tells the callers that wait on the key that the request was not recorded and will
-	 * not run.
+	 * not run. It is carried out before the key is offered again, since a caller of a
+	 * later offer must not be told.
 	 *
 	 * @param key the key
 	 * @param outcome the reason
--- a/shards/src/test/java/io/lentilstream/shards/ownership/OwnershipCluster.java
+++ b/shards/src/test/java/io/lentilstream/shards/ownership/OwnershipCluster.java
@@ -118,6 +118,8 @@
 
 		boolean cutOff;
 
+		boolean nothingHeldBack = true;
+
 		/** Applies the next write but loses its reply. */
 		boolean loseNextReply;
 
@@ -170,7 +172,7 @@
 				}
 				else if (action instanceof OwnershipAction.PrepareRelease release) {
 					this.events.add(action);
-					take(this.ownership.readyToRelease(time(), release.shard(), true));
+					take(this.ownership.readyToRelease(time(), release.shard(), this.nothingHeldBack));
 				}
 				else if (isEvent(action)) {
 					this.events.add(action);
--- a/shards/src/test/java/io/lentilstream/shards/ownership/ShardOwnershipTests.java
+++ b/shards/src/test/java/io/lentilstream/shards/ownership/ShardOwnershipTests.java
@@ -120,16 +120,32 @@
 	void leavesAShardAloneWhoseOwnerRegisteredAfterTheEntriesWereListed() {
 		OwnershipCluster.Vm a = this.cluster.start("a");
 		a.take(a.ownership.tick(a.time()));
+		OwnershipAction.WriteRecord take = null;
+		while (!a.calls.isEmpty()) {
+			if (a.calls.peek() instanceof OwnershipAction.WriteRecord write
+					&& write.write().key().equals(OwnershipCluster.owner(0))) {
+				take = write;
+				a.calls.remove();
+				continue;
+			}
+			a.step();
+		}
+		// While the take is under way, the entries are listed, and then a peer registers
+		// and takes the shard. The conflict tells of the peer's record before the list,
+		// which lacks the peer's entry, arrives.
+		this.cluster.now = this.cluster.now.plusMillis(2_000);
+		a.take(a.ownership.tick(a.time()));
 		while (!isEntriesList(a.calls.peek())) {
 			a.step();
 		}
-		// The peer's entry is registered and its record written after the list of the
-		// entries was read.
-		ListOutcome stale = this.cluster.store.list(OwnershipKeys.ENTRIES);
 		OwnershipAction.ListRecords list = (OwnershipAction.ListRecords) a.calls.remove();
+		ListOutcome stale = this.cluster.store.list(OwnershipKeys.ENTRIES);
 		LeaseId lease = new LeaseId(77);
+		EntryRecord entry = new EntryRecord(lease, false, List.of("zone-1"));
 		OwnershipRecord record = OwnershipRecord.taken(new VmId("b"), lease, new Epoch(1));
+		this.cluster.store.write(StoreWrite.put(OwnershipKeys.entry(new VmId("b")), entry.encode(), StoreWrite.ABSENT));
 		this.cluster.store.write(StoreWrite.put(OwnershipCluster.owner(0), record.encode(), StoreWrite.ABSENT));
+		a.take(a.ownership.completed(a.time(), take.id(), this.cluster.store.write(take.write())));
 		a.take(a.ownership.completed(a.time(), list.id(), stale));
 		while (!a.calls.isEmpty()) {
 			a.step();
@@ -170,6 +186,19 @@
 			.allMatch((event) -> event instanceof OwnershipAction.ShardGained gained && gained.releasedCleanly());
 	}
 
+	@Test
+	void passesOnThatAReleasedShardStillHoldsBackWorkOfAnEarlierOwner() {
+		OwnershipCluster.Vm a = this.cluster.start("a");
+		OwnershipCluster.Vm b = this.cluster.start("b");
+		this.cluster.run(60_000);
+		b.events.clear();
+		a.nothingHeldBack = false;
+		a.take(a.ownership.shutdown(a.time()));
+		this.cluster.run(8_000);
+		assertThat(b.events).hasSize(4)
+			.allMatch((event) -> event instanceof OwnershipAction.ShardGained gained && !gained.releasedCleanly());
+	}
+
 	@Test
 	void plansWithoutAPeerThatDoesNotTakeItsShards() {
 		EntryRecord stuck = new EntryRecord(new LeaseId(77), false, List.of("zone-1"));
