--- /dev/null
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/shards/MemoryStore.java
@@ -0,0 +1,112 @@
+package io.lentilstream.benchmarks.shards;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.platform.LeaseId;
+import io.lentilstream.platform.LeaseOutcome;
+import io.lentilstream.platform.ListOutcome;
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.platform.StoreWrite;
+import io.lentilstream.platform.StoredValue;
+import io.lentilstream.platform.WriteOutcome;
+
+/**
+ * Is a store without faults that counts calls and bytes.
+ */
+final class MemoryStore {
+
+	private final TreeMap<String, StoredValue> values = new TreeMap<>();
+
+	private final Map<String, LeaseId> attached = new HashMap<>();
+
+	private final Map<LeaseId, MonotonicTime> leases = new HashMap<>();
+
+	private long leaseMillis;
+
+	private long reads;
+
+	private long writes;
+
+	private long writtenBytes;
+
+	WriteOutcome write(StoreWrite write) {
+		this.writes++;
+		String path = write.key().path();
+		StoredValue current = this.values.get(path);
+		long version = (current != null) ? current.version() : StoreWrite.ABSENT;
+		if (version != write.expectedVersion()) {
+			return new WriteOutcome.Conflict(Optional.ofNullable(current));
+		}
+		byte[] value = write.value().orElseThrow();
+		this.writtenBytes += value.length;
+		this.values.put(path, new StoredValue(write.key(), value, version + 1));
+		write.lease().ifPresent((lease) -> this.attached.put(path, lease));
+		return new WriteOutcome.Written(version + 1);
+	}
+
+	ReadOutcome read(StoreKey key) {
+		this.reads++;
+		return new ReadOutcome.Read(Optional.ofNullable(this.values.get(key.path())));
+	}
+
+	ListOutcome list(StoreKey prefix) {
+		this.reads++;
+		List<StoredValue> found = new ArrayList<>(
+				this.values.subMap(prefix.path(), prefix.path() + Character.MAX_VALUE).values());
+		return new ListOutcome.Listed(found, 0);
+	}
+
+	LeaseOutcome grant(MonotonicTime now, long millis) {
+		this.writes++;
+		this.leaseMillis = millis;
+		LeaseId lease = new LeaseId(this.leases.size() + 1L);
+		this.leases.put(lease, now.plusMillis(millis));
+		return new LeaseOutcome.Granted(lease);
+	}
+
+	LeaseOutcome renew(MonotonicTime now, LeaseId lease) {
+		this.writes++;
+		this.leases.put(lease, now.plusMillis(this.leaseMillis));
+		return new LeaseOutcome.Granted(lease);
+	}
+
+	void expire(MonotonicTime now) {
+		this.attached.entrySet().removeIf((entry) -> {
+			boolean lapsed = !now.isBefore(this.leases.get(entry.getValue()));
+			if (lapsed) {
+				this.values.remove(entry.getKey());
+			}
+			return lapsed;
+		});
+	}
+
+	MonotonicTime endOf(LeaseId lease) {
+		return this.leases.get(lease);
+	}
+
+	long reads() {
+		return this.reads;
+	}
+
+	long writes() {
+		return this.writes;
+	}
+
+	long writtenBytes() {
+		return this.writtenBytes;
+	}
+
+	void resetCounts() {
+		this.reads = 0;
+		this.writes = 0;
+		this.writtenBytes = 0;
+	}
+
+}
--- a/requests/src/test/java/io/lentilstream/requests/records/RequestRecordsTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/records/RequestRecordsTests.java
@@ -138,4 +138,47 @@
 		assertThat(this.records.size()).isZero();
 	}
 
+	@Test
+	void doesNotDispatchACancelledRequestAgain() {
+		commit(offer(DIGEST, Optional.of(ENDPOINT)));
+		commit(this.records.cancel(this.now, KEY));
+		RequestOutcome cancelled = new RequestOutcome.NotRun(NotRunReason.CANCELLED, 0);
+		assertThat(commit(this.records.attemptCompleted(this.now, KEY, ATTEMPT, new EndpointOutcome.Refused(false))))
+			.containsExactly(new RecordAction.PublishOutcome(KEY, cancelled));
+	}
+
+	@Test
+	void cancelsARequestWhoseAcceptanceIsNotDurableYet() {
+		RecordStep step = offer(DIGEST, Optional.empty());
+		this.records.cancel(this.now, KEY);
+		assertThat(commit(step))
+			.contains(new RecordAction.PublishOutcome(KEY, new RequestOutcome.NotRun(NotRunReason.CANCELLED, 0)));
+	}
+
+	@Test
+	void wantsAnEndpointAgainAfterTheLogRefusedTheDispatch() {
+		commit(offer(DIGEST, Optional.empty()));
+		RecordStep dispatch = this.records.dispatch(this.now, KEY, ENDPOINT);
+		assertThat(this.records.dispatch(this.now, KEY, ENDPOINT).actions())
+			.containsExactly(new RecordAction.ReturnEndpoint(KEY, ENDPOINT));
+		assertThat(this.records.refused(this.now, dispatch.id()).actions())
+			.containsExactly(new RecordAction.ReturnEndpoint(KEY, ENDPOINT));
+		this.now = this.now.plusMillis(1_000);
+		assertThat(commit(this.records.tick(this.now))).containsExactly(new RecordAction.WantEndpoint(KEY, KIND));
+	}
+
+	@Test
+	void tellsThatARequestDidNotRunBeforeItsKeepDeadline() {
+		commit(offer(DIGEST, Optional.empty()));
+		this.now = this.now.plusMillis(60_000);
+		assertThat(commit(this.records.tick(this.now))).containsExactly(
+				new RecordAction.PublishOutcome(KEY, new RequestOutcome.NotRun(NotRunReason.DEADLINE_PASSED, 0)));
+	}
+
+	@Test
+	void refusesASnapshotOfAnUnknownFormatVersion() {
+		assertThat(create(2).recover(this.now, Optional.of(new byte[] { 9 }), List.of()).actions())
+			.containsExactly(new RecordAction.RecoveryFailed("record snapshot has format version 9, expected 1"));
+	}
+
 }
