Let deferrable requests queue for a slot, and hold slots no longer than two attempts

Cause: a record marks its request as forwarded, since only endpoints of this entry VM can be recorded; the scheduler then refused it whenever it had to wait, so after the only endpoint broke no probe was ever sent. A broken attempt also held its slot for the 60 s deadline. Ruled out: the lookup and the seal, which came at 5.0 s as they should. Change: only batch work of peers is handed back; the deadline of a deferrable request is two attempts and 5 s, and a slot that comes too late is returned.

--- a/entry/src/main/java/io/lentilstream/entry/records/RecordShardDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/records/RecordShardDriver.java
@@ -59,10 +59,10 @@
 	private static final long RETRY_AFTER_MILLIS = 1_000;
 
 	/**
-	 * How long a deferrable request waits for a slot before it queues again, in
-	 * milliseconds. Bounds what the scheduler holds for a service without endpoints.
+	 * Time beside two attempts that a deferrable request waits for a slot before it
+	 * queues again, in milliseconds. A broken attempt holds its slot until then.
 	 */
-	private static final long SLOT_WAIT_MILLIS = 60_000;
+	private static final long SLOT_WAIT_MILLIS = 5_000;
 
 	private static final long WANT_AGAIN_MILLIS = 200;
 
@@ -303,15 +303,18 @@
 			wantAgain(want, WANT_AGAIN_MILLIS);
 			return;
 		}
-		MonotonicTime deadline = this.environment.clock().now().plusMillis(SLOT_WAIT_MILLIS);
+		MonotonicTime deadline = this.environment.clock()
+			.now()
+			.plusMillis(2 * kind.get().timeoutMillis() + SLOT_WAIT_MILLIS);
 		// Marked as forwarded, since only endpoints of this entry VM can be recorded.
 		IncomingRequest request = new IncomingRequest(this.environment.ids().next(), kind.get().service(),
 				Urgency.DEFERRABLE, deadline, false, true, 0);
 		this.environment.requests().requestSlot(request, new SlotHandler() {
 
 			@Override
-			public void granted(EndpointId endpoint, Slot slot) {
-				RecordShardDriver.this.serial.execute(() -> granted(want, endpoint, slot));
+			public void granted(EndpointId endpoint, Slot slot, MonotonicTime deadline) {
+				RecordShardDriver.this.serial
+					.execute(() -> RecordShardDriver.this.granted(want, endpoint, slot, deadline));
 			}
 
 			@Override
@@ -319,16 +322,17 @@
 				RecordShardDriver.this.serial.execute(() -> wantAgain(want, retryAfterMillis));
 			}
 
-			private void granted(RecordAction.WantEndpoint wanted, EndpointId endpoint, Slot slot) {
-				RecordShardDriver.this.granted(wanted, endpoint, slot);
-			}
-
 		});
 	}
 
-	private void granted(RecordAction.WantEndpoint want, EndpointId endpoint, Slot slot) {
-		if (this.closed || this.release != null) {
+	private void granted(RecordAction.WantEndpoint want, EndpointId endpoint, Slot slot, MonotonicTime deadline) {
+		boolean late = this.environment.clock()
+			.now()
+			.plusMillis(timeoutMillis(want.key(), want.kind()))
+			.isAfter(deadline);
+		if (this.closed || this.release != null || late) {
 			slot.unused();
+			wantAgain(want, WANT_AGAIN_MILLIS);
 			return;
 		}
 		this.slots.put(want.key(), slot);
@@ -346,10 +350,7 @@
 
 	private void send(RecordAction.SendAttempt send) {
 		Slot slot = this.slots.remove(send.key());
-		long timeout = this.environment.kinds()
-			.find(send.key().team(), send.kind())
-			.map(WorkKind::timeoutMillis)
-			.orElse(SLOT_WAIT_MILLIS);
+		long timeout = timeoutMillis(send.key(), send.kind());
 		EndpointRequest request = new EndpointRequest(send.attempt(), Optional.of(send.key().key()), "POST",
 				"/" + send.kind().value(), Map.of("content-type", "application/octet-stream"), send.body(), timeout);
 		track(this.environment.endpoints().send(send.endpoint(), request), (outcome) -> {
@@ -358,6 +359,10 @@
 		});
 	}
 
+	private long timeoutMillis(RecordKey key, KindName kind) {
+		return this.environment.kinds().find(key.team(), kind).map(WorkKind::timeoutMillis).orElse(SLOT_WAIT_MILLIS);
+	}
+
 	private static void freeSlot(Slot slot, EndpointOutcome outcome) {
 		if (slot != null) {
 			slot.completed(outcome);
--- a/entry/src/main/java/io/lentilstream/entry/requests/RequestDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/requests/RequestDriver.java
@@ -145,7 +145,8 @@
 
 	private void performForSlot(SlotHandler handler, RequestAction action) {
 		if (action instanceof RequestAction.Dispatch dispatch) {
-			handler.granted(dispatch.endpoint(), new GrantedSlot(dispatch.request(), dispatch.attempt()));
+			handler.granted(dispatch.endpoint(), new GrantedSlot(dispatch.request(), dispatch.attempt()),
+					dispatch.deadline());
 			return;
 		}
 		this.slotRequests.remove(action.request());
--- a/entry/src/test/java/io/lentilstream/entry/requests/RequestDriverTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/requests/RequestDriverTests.java
@@ -15,6 +15,7 @@
 import io.lentilstream.entry.fakes.ManualTimers;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.IdempotencyKey;
+import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.NotRunReason;
 import io.lentilstream.model.RequestId;
 import io.lentilstream.model.RequestOutcome;
@@ -127,7 +128,7 @@
 		return new SlotHandler() {
 
 			@Override
-			public void granted(EndpointId endpoint, Slot slot) {
+			public void granted(EndpointId endpoint, Slot slot, MonotonicTime deadline) {
 				slots[0] = slot;
 			}
 
--- a/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
+++ b/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
@@ -281,8 +281,10 @@
 		if (forwards(ticket, wait)) {
 			return;
 		}
-		if (ticket.request.forwarded() && !ticket.isUrgent() && wait > 0) {
-			// The sender's queue keeps batch work until an entry VM has a slot for it.
+		if (ticket.request.forwarded() && ticket.urgency == Urgency.BATCH && wait > 0) {
+			// The sender's queue keeps batch work until an entry VM has a slot for it. A
+			// deferrable request has no sender that would: its record waits here for a
+			// slot.
 			this.finals.refuse(ticket, NotRunReason.QUEUE_FULL, 0, this.actions);
 			return;
 		}
