Release slots of broken attempts by the endpoint's own count

Cause: a broken attempt holds its slot until its timeout; for batch work with a far deadline, an endpoint that was restarted would get no work for hours. Change: RequestScheduler.endpointCounted takes the count that the endpoint reports and when it was asked. It releases the oldest attempts that broke before, as far as the count shows that they ended, and lowers the count of earlier owners. A fault table covers it. Conclusion: facade extended by one method; the others are unchanged.

--- a/requests/src/main/java/io/lentilstream/requests/Attempt.java
+++ b/requests/src/main/java/io/lentilstream/requests/Attempt.java
@@ -23,6 +23,9 @@
 
 	boolean awaited = true;
 
+	/** When the attempt broke; its slot is held since then. */
+	long brokenAt;
+
 	boolean overdue;
 
 	TimerQueue.Timer overdueTimer;
--- a/requests/src/main/java/io/lentilstream/requests/RequestScheduler.java
+++ b/requests/src/main/java/io/lentilstream/requests/RequestScheduler.java
@@ -147,6 +147,25 @@
 		return (shard != null) ? shard.cancelled(now, request) : List.of();
 	}
 
+	/**
+	 * Takes in the endpoint's own count of the requests that it runs. Slots of attempts
+	 * that broke before the endpoint was asked, and of earlier owners, are released as
+	 * far as the count shows that these requests have ended. Without a count they are
+	 * held until their timeout.
+	 * @param now the current instant
+	 * @param endpoint the endpoint
+	 * @param askedAt the instant at which the endpoint was asked
+	 * @param inFlight the count
+	 * @return the actions that follow
+	 */
+	public List<RequestAction> endpointCounted(MonotonicTime now, EndpointId endpoint, MonotonicTime askedAt,
+			int inFlight) {
+		List<RequestAction> actions = new ArrayList<>();
+		this.shards.values()
+			.forEach((shard) -> actions.addAll(shard.endpointCounted(now, endpoint, askedAt, inFlight)));
+		return actions;
+	}
+
 	/**
 	 * Does what is due by now. The daemon calls it at {@link #nextWakeUp()} or later.
 	 * @param now the current instant
--- a/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
+++ b/requests/src/main/java/io/lentilstream/requests/ServiceShard.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -188,6 +189,25 @@
 		return finish();
 	}
 
+	synchronized List<RequestAction> endpointCounted(MonotonicTime time, EndpointId id, MonotonicTime askedAt,
+			int inFlight) {
+		Endpoint endpoint = this.ledger.find(id);
+		if (endpoint == null) {
+			return List.of();
+		}
+		begin(time);
+		this.ledger.change(endpoint, () -> endpoint.baseline = Math.min(endpoint.baseline, inFlight));
+		List<Attempt> held = this.tickets.values()
+			.stream()
+			.flatMap((ticket) -> ticket.open.stream())
+			.filter((attempt) -> attempt.endpoint == endpoint && !attempt.awaited
+					&& attempt.brokenAt - askedAt.nanos() < 0)
+			.sorted(Comparator.comparingLong((attempt) -> attempt.brokenAt))
+			.toList();
+		held.subList(0, Math.max(0, held.size() - inFlight)).forEach(this::end);
+		return finish();
+	}
+
 	synchronized List<RequestAction> tick(MonotonicTime time) {
 		begin(time);
 		return finish();
@@ -325,6 +345,7 @@
 			}
 			ticket.mayHaveRun = true;
 			ticket.brokenAttempts++;
+			attempt.brokenAt = this.now;
 			if (attempt.peer != null) {
 				end(attempt);
 			}
--- a/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/EndpointFaultTests.java
@@ -179,6 +179,26 @@
 		assertThat(this.fixture.snapshot().slots()).isEqualTo(1);
 	}
 
+	static Stream<Arguments> counts() {
+		return Stream.of(Arguments.of("idle after the attempts broke", 1, 0, 0),
+				Arguments.of("one may still run", 1, 1, 1), Arguments.of("asked before the attempts broke", -1, 0, 2));
+	}
+
+	@ParameterizedTest(name = "{0}")
+	@MethodSource("counts")
+	void releasesSlotsOfBrokenAttemptsByTheCountOfTheEndpoint(String name, long askedAfterMillis, int count, int held) {
+		this.fixture = new SchedulerFixture().withEndpoints(1, 3, 3);
+		for (int i = 0; i < 3; i++) {
+			this.fixture.offer(i, Urgency.URGENT, 60_000, false);
+		}
+		this.fixture.completed(0, new AttemptResult.Broken(1));
+		this.fixture.completed(1, new AttemptResult.Broken(1));
+		this.fixture.holding.clear();
+		this.fixture.check(this.fixture.scheduler.endpointCounted(this.fixture.now.plusMillis(2), FIRST,
+				this.fixture.now.plusMillis(askedAfterMillis), count));
+		assertThat(this.fixture.scheduler.inFlightByEndpoint().get(FIRST)).as("held and running").isEqualTo(held + 1);
+	}
+
 	@Test
 	void countsABrokenAttemptOnceHoweverOftenItIsReported() {
 		this.fixture.offer(1, Urgency.URGENT, 10_000, false);
