--- /dev/null
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Drivers that measure the decisions for tasks.
+ */
+package io.lentilstream.benchmarks.tasks;
--- a/tasks/src/main/java/io/lentilstream/tasks/TaskDefaults.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/TaskDefaults.java
@@ -52,8 +52,8 @@
 	/** Time after which an observed interference counts half. */
 	public static final Duration INTERFERENCE_HALF_LIFE = Duration.ofMinutes(10);
 
-	/** Interval of ticks; urgent starts and lapsed leases are seen this much later. */
-	public static final Duration TICK = Duration.ofMillis(100);
+	/** Interval of ticks; every second one renews leases, the others do the rest. */
+	public static final Duration TICK = Duration.ofMillis(50);
 
 	private TaskDefaults() {
 	}
--- a/tasks/src/main/java/io/lentilstream/tasks/TaskShard.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/TaskShard.java
@@ -153,8 +153,9 @@
 	}
 
 	/**
-	 * Does what is due: renewals, probes, lapsed leases, evictions and starts. To be
-	 * called every {@link TaskDefaults#TICK}.
+	 * Does what is due, in turns: one tick renews leases, pings silent workers and gives
+	 * up lapsed tasks, and returns no entries; the next one evicts, probes and starts. To
+	 * be called every {@link TaskDefaults#TICK}.
 	 * @param now the current time
 	 * @return the step
 	 */
--- a/tasks/src/main/java/io/lentilstream/tasks/log/TaskLogCodec.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/log/TaskLogCodec.java
@@ -16,10 +16,12 @@
 import io.lentilstream.tasks.log.TaskLogEntry.JobsCancelled;
 import io.lentilstream.tasks.log.TaskLogEntry.OrderMark;
 import io.lentilstream.tasks.log.TaskLogEntry.Placement;
+import io.lentilstream.tasks.log.TaskLogEntry.Release;
 import io.lentilstream.tasks.log.TaskLogEntry.TaskFailed;
 import io.lentilstream.tasks.log.TaskLogEntry.TaskKey;
 import io.lentilstream.tasks.log.TaskLogEntry.TasksFinished;
 import io.lentilstream.tasks.log.TaskLogEntry.TasksPlaced;
+import io.lentilstream.tasks.log.TaskLogEntry.TasksReleased;
 
 /**
  * Encodes entries of the shard log as MessagePack: format version, type, fields.
@@ -45,6 +47,8 @@
 
 	private static final int ORDER_MARK = 8;
 
+	private static final int TASKS_RELEASED = 9;
+
 	private TaskLogCodec() {
 	}
 
@@ -103,6 +107,14 @@
 				packer.packInt(placement.size().memorySixteenths());
 			}
 		}
+		else if (entry instanceof TasksReleased released) {
+			packer.packInt(TASKS_RELEASED);
+			packer.packArrayHeader(released.releases().size());
+			for (Release release : released.releases()) {
+				writeKey(packer, release.task());
+				packer.packLong(release.worker());
+			}
+		}
 		else if (entry instanceof CheckpointRecorded recorded) {
 			packer.packInt(CHECKPOINT_RECORDED);
 			packer.packLong(recorded.sequence());
@@ -155,6 +167,7 @@
 			case TASK_FAILED -> new TaskFailed(readKey(unpacker), unpacker.unpackString());
 			case JOB_FAILED -> new JobFailed(unpacker.unpackLong(), unpacker.unpackString());
 			case JOBS_CANCELLED -> new JobsCancelled(readList(unpacker, MessageUnpacker::unpackLong));
+			case TASKS_RELEASED -> new TasksReleased(readList(unpacker, TaskLogCodec::readRelease));
 			case ORDER_MARK -> new OrderMark();
 			default -> throw new IllegalArgumentException("unknown entry type " + type);
 		};
@@ -169,6 +182,10 @@
 		return new TaskKey(unpacker.unpackLong(), unpacker.unpackInt());
 	}
 
+	private static Release readRelease(MessageUnpacker unpacker) throws IOException {
+		return new Release(readKey(unpacker), unpacker.unpackLong());
+	}
+
 	private static Placement readPlacement(MessageUnpacker unpacker) throws IOException {
 		TaskKey key = readKey(unpacker);
 		long worker = unpacker.unpackLong();
--- a/tasks/src/main/java/io/lentilstream/tasks/log/TaskLogEntry.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/log/TaskLogEntry.java
@@ -28,6 +28,16 @@
 	record TasksPlaced(List<Placement> placements) implements TaskLogEntry {
 	}
 
+	/**
+	 * Tasks certainly do not run at the worker where they were placed last, and did not
+	 * finish there. Without this entry, a new owner would commit capacity for them beside
+	 * the tasks that were placed there since, and exceed the capacity of the VM.
+	 *
+	 * @param releases the tasks and the workers
+	 */
+	record TasksReleased(List<Release> releases) implements TaskLogEntry {
+	}
+
 	/**
 	 * A worker completed a checkpoint.
 	 *
@@ -88,6 +98,15 @@
 	record TaskKey(long sequence, int index) {
 	}
 
+	/**
+	 * Releases one task.
+	 *
+	 * @param task the task
+	 * @param worker the 8-byte index of the worker where it was placed
+	 */
+	record Release(TaskKey task, long worker) {
+	}
+
 	/**
 	 * Places one task.
 	 *
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/JobEndRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/JobEndRule.java
@@ -32,12 +32,15 @@
 	 */
 	int endAll(JobRecord job, TaskState end, StepBuilder step, MonotonicTime now) {
 		int before = job.unended();
+		if (before == 0) {
+			return 0;
+		}
 		TaskEvent event = (end == TaskState.CANCELLED) ? TaskEvent.CANCELLED : TaskEvent.GIVEN_UP;
 		job.endedAs = end;
 		for (TaskGroup group : job.groups) {
 			for (int i = group.first; i < group.next; i++) {
 				TaskRecord task = job.tasks[i];
-				if (task.group != null && !task.state.isEnded()) {
+				if (task != null && task.group != null && !task.state.isEnded()) {
 					this.lifecycle.apply(task, event);
 					this.stops.stopIfPlaced(task, step);
 				}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/LeaseRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/LeaseRule.java
@@ -33,10 +33,7 @@
 		this.opening = opening;
 	}
 
-	void tick(WorkerRecord worker, StepBuilder step, MonotonicTime now) {
-		if (!worker.tasks.isEmpty() && worker.leaseCommands == 0) {
-			lapseIfPassed(worker, now);
-		}
+	void renewIfDue(WorkerRecord worker, StepBuilder step, MonotonicTime now) {
 		if (worker.vm != null && worker.renewCommand == 0 && now.nanos() - worker.renewDueNanos >= 0
 				&& needsContact(worker) && this.state.mayRenew(now)) {
 			if (worker.silent >= SILENT_BEFORE_PING) {
@@ -93,7 +90,15 @@
 		step.send(worker, new WorkerCommand.Stop(worker.renewCommand, List.of()));
 	}
 
-	private void lapseIfPassed(WorkerRecord worker, MonotonicTime now) {
+	/**
+	 * Gives up the tasks of a worker on which no lease can last any more.
+	 * @param worker the worker
+	 * @param now the current time
+	 */
+	void lapseIfPassed(WorkerRecord worker, MonotonicTime now) {
+		if (worker.tasks.isEmpty() || worker.leaseCommands > 0) {
+			return;
+		}
 		long bound = worker.leaseBoundNanos;
 		if (!worker.confirmed && worker.holdUntilNanos - bound > 0) {
 			bound = worker.holdUntilNanos;
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/Placements.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/Placements.java
@@ -1,11 +1,14 @@
 package io.lentilstream.tasks.scheduling;
 
+import java.util.ArrayList;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
 import io.lentilstream.tasks.log.SizeFactor;
+import io.lentilstream.tasks.log.TaskLogEntry;
 
 /**
  * Commits and releases the capacity of tasks, and puts tasks that lost their worker back
@@ -22,6 +25,8 @@
 	/** Workers on which capacity was released since the last placement pass. */
 	private final Set<WorkerRecord> freed = new LinkedHashSet<>();
 
+	private final List<TaskLogEntry.Release> released = new ArrayList<>();
+
 	Placements(ShardState state, Lifecycle lifecycle, PendingQueue queue) {
 		this.state = state;
 		this.lifecycle = lifecycle;
@@ -80,6 +85,7 @@
 	 * @param now the current time
 	 */
 	void release(TaskRecord task, MonotonicTime now) {
+		this.released.add(new TaskLogEntry.Release(StepBuilder.key(task), task.worker.hash));
 		detach(task);
 		this.lifecycle.apply(task, TaskEvent.PLACE_LOST);
 		if (task.waits()) {
@@ -88,12 +94,15 @@
 	}
 
 	/**
-	 * Releases the capacity of a task that a later entry of the log places elsewhere.
+	 * Releases the capacity of a task as an entry of the log says.
 	 * @param task the task
 	 */
 	void releaseQuietly(TaskRecord task) {
 		detach(task);
 		this.lifecycle.apply(task, TaskEvent.PLACE_LOST);
+		if (task.waits()) {
+			task.group.addReturned(task);
+		}
 	}
 
 	/**
@@ -108,6 +117,19 @@
 		this.lifecycle.apply(task, event);
 	}
 
+	/**
+	 * Returns the releases since the last call, for the log.
+	 * @return the releases
+	 */
+	List<TaskLogEntry.Release> takeReleased() {
+		if (this.released.isEmpty()) {
+			return List.of();
+		}
+		List<TaskLogEntry.Release> taken = List.copyOf(this.released);
+		this.released.clear();
+		return taken;
+	}
+
 	Set<WorkerRecord> freed() {
 		return this.freed;
 	}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/Replay.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/Replay.java
@@ -13,10 +13,12 @@
 import io.lentilstream.tasks.log.TaskLogEntry.JobFailed;
 import io.lentilstream.tasks.log.TaskLogEntry.JobsCancelled;
 import io.lentilstream.tasks.log.TaskLogEntry.Placement;
+import io.lentilstream.tasks.log.TaskLogEntry.Release;
 import io.lentilstream.tasks.log.TaskLogEntry.TaskFailed;
 import io.lentilstream.tasks.log.TaskLogEntry.TaskKey;
 import io.lentilstream.tasks.log.TaskLogEntry.TasksFinished;
 import io.lentilstream.tasks.log.TaskLogEntry.TasksPlaced;
+import io.lentilstream.tasks.log.TaskLogEntry.TasksReleased;
 
 /**
  * Applies entries of the log to the state. A task that was placed last on a worker keeps
@@ -61,6 +63,9 @@
 				place(placement.task(), placement.worker(), placement.size());
 			}
 		}
+		else if (entry instanceof TasksReleased released) {
+			released.releases().forEach(this::release);
+		}
 		else if (entry instanceof CheckpointRecorded recorded) {
 			TaskRecord task = open(new TaskKey(recorded.sequence(), recorded.index()));
 			if (task != null) {
@@ -112,6 +117,15 @@
 		this.placements.adopt(task, this.state.worker(workerHash), size);
 	}
 
+	private void release(Release release) {
+		JobRecord job = this.state.jobsBySequence.get(release.task().sequence());
+		TaskRecord task = (job != null && release.task().index() < job.tasks.length) ? job.tasks[release.task().index()]
+				: null;
+		if (task != null && task.worker != null && task.worker.hash == release.worker()) {
+			this.placements.releaseQuietly(task);
+		}
+	}
+
 	/**
 	 * Returns the record of a task that has not ended; creates it if needed.
 	 * @param key the task
@@ -127,7 +141,7 @@
 			// Tasks are placed in order for the first time, so earlier ones exist
 			// already,
 			// unless the entry that placed them is missing.
-			group.addReturned(group.takeNext());
+			group.addReturned(group.createNext());
 		}
 		TaskRecord task = job.tasks[key.index()];
 		return (task.group != null && !task.state.isEnded()) ? task : null;
@@ -159,7 +173,7 @@
 		for (TaskGroup group : job.groups) {
 			for (int i = group.first; i < group.next; i++) {
 				TaskRecord task = job.tasks[i];
-				if (task.group != null && !task.state.isEnded()) {
+				if (task != null && task.group != null && !task.state.isEnded()) {
 					this.lifecycle.apply(task, event);
 				}
 			}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
@@ -78,6 +78,8 @@
 
 	private MonotonicTime slowTickDue;
 
+	private boolean leaseTurn;
+
 	/**
 	 * Creates the decisions of a shard without jobs and workers.
 	 * @param shard the shard
@@ -174,9 +176,6 @@
 		for (TeamRecord team : this.state.teams.values()) {
 			team.setUsed(team.used, this.state.ledger.totalCapacity());
 		}
-		for (WorkerRecord worker : listed) {
-			this.leases.tick(worker, step, now);
-		}
 		return finish(step, now);
 	}
 
@@ -277,9 +276,6 @@
 		WorkerRecord worker = this.state.workersByVm.get(vm);
 		if (worker != null) {
 			this.answers.apply(worker, command, outcome, step, now);
-			if (worker.renewDueNanos - now.nanos() <= 0) {
-				this.leases.tick(worker, step, now);
-			}
 		}
 		return finish(step, now);
 	}
@@ -309,7 +305,6 @@
 				worker.renewDueNanos = now.nanos();
 			}
 		}
-		this.leases.tick(worker, step, now);
 		return finish(step, now);
 	}
 
@@ -334,6 +329,16 @@
 		if (this.state.fenced) {
 			return step.build();
 		}
+		this.leaseTurn = !this.leaseTurn;
+		if (this.leaseTurn) {
+			// Renewals must not wait for entries to become durable: during an outage of
+			// the
+			// store, running tasks would lose their leases.
+			for (int i = 0; i < this.state.workers.size(); i++) {
+				this.leases.renewIfDue(this.state.workers.get(i), step, now);
+			}
+			return step.build();
+		}
 		boolean slow = !now.isBefore(this.slowTickDue);
 		if (slow) {
 			this.slowTickDue = now.plus(SLOW_INTERVAL);
@@ -345,7 +350,7 @@
 		this.evictions.tick(step, now);
 		for (int i = 0; i < this.state.workers.size(); i++) {
 			WorkerRecord worker = this.state.workers.get(i);
-			this.leases.tick(worker, step, now);
+			this.leases.lapseIfPassed(worker, now);
 			if (slow) {
 				this.probation.tick(worker, now);
 				this.leaving.tick(worker, step, now);
@@ -358,6 +363,7 @@
 			this.unplaceable.tick(step, now);
 			this.reclaim.tick(step, now);
 		}
+		step.released(this.placements.takeReleased());
 		return step.build();
 	}
 
@@ -439,6 +445,7 @@
 			return TaskStep.NOTHING;
 		}
 		this.starts.apply(step, now);
+		step.released(this.placements.takeReleased());
 		return step.build();
 	}
 
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/StepBuilder.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/StepBuilder.java
@@ -24,6 +24,8 @@
 
 	private final List<TaskLogEntry.Placement> placements = new ArrayList<>();
 
+	private final List<TaskLogEntry.Release> releases = new ArrayList<>();
+
 	private final List<TaskAction> tells = new ArrayList<>();
 
 	private final List<TaskAction> commands = new ArrayList<>();
@@ -42,6 +44,10 @@
 		this.placements.add(new TaskLogEntry.Placement(key(task), task.worker.hash, task.size));
 	}
 
+	void released(List<TaskLogEntry.Release> released) {
+		this.releases.addAll(released);
+	}
+
 	int placedCount() {
 		return this.placements.size();
 	}
@@ -75,6 +81,9 @@
 		if (!this.finished.isEmpty()) {
 			this.entries.add(new TaskLogEntry.TasksFinished(this.finished));
 		}
+		if (!this.releases.isEmpty()) {
+			this.entries.add(new TaskLogEntry.TasksReleased(this.releases));
+		}
 		if (!this.placements.isEmpty()) {
 			this.entries.add(new TaskLogEntry.TasksPlaced(this.placements));
 		}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/TaskGroup.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/TaskGroup.java
@@ -90,7 +90,15 @@
 			this.returned.removeFirst();
 			return task;
 		}
-		task = new TaskRecord(this, this.next);
+		return createNext();
+	}
+
+	/**
+	 * Creates the record of the next task that has none.
+	 * @return the record
+	 */
+	TaskRecord createNext() {
+		TaskRecord task = new TaskRecord(this, this.next);
 		this.job.tasks[this.next] = task;
 		this.next++;
 		return task;
--- a/tasks/src/test/java/io/lentilstream/tasks/log/TaskLogCodecTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/log/TaskLogCodecTests.java
@@ -19,10 +19,12 @@
 import io.lentilstream.tasks.log.TaskLogEntry.JobsCancelled;
 import io.lentilstream.tasks.log.TaskLogEntry.OrderMark;
 import io.lentilstream.tasks.log.TaskLogEntry.Placement;
+import io.lentilstream.tasks.log.TaskLogEntry.Release;
 import io.lentilstream.tasks.log.TaskLogEntry.TaskFailed;
 import io.lentilstream.tasks.log.TaskLogEntry.TaskKey;
 import io.lentilstream.tasks.log.TaskLogEntry.TasksFinished;
 import io.lentilstream.tasks.log.TaskLogEntry.TasksPlaced;
+import io.lentilstream.tasks.log.TaskLogEntry.TasksReleased;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -40,9 +42,9 @@
 		return Stream.of(new JobAccepted(7, job),
 				new TasksPlaced(List.of(new Placement(key, Long.MIN_VALUE, SizeFactor.DECLARED),
 						new Placement(new TaskKey(0, 0), -1, new SizeFactor(4, 64)))),
-				new CheckpointRecorded(3, 2, "cp-1"), new TasksFinished(List.of(key)),
-				new TaskFailed(key, "out of memory"), new JobFailed(9, "larger than every VM"),
-				new JobsCancelled(List.of(1L, 5L)), new OrderMark());
+				new TasksReleased(List.of(new Release(key, 12))), new CheckpointRecorded(3, 2, "cp-1"),
+				new TasksFinished(List.of(key)), new TaskFailed(key, "out of memory"),
+				new JobFailed(9, "larger than every VM"), new JobsCancelled(List.of(1L, 5L)), new OrderMark());
 	}
 
 	@ParameterizedTest
