--- a/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
@@ -102,8 +102,8 @@
 	 * Starts to listen.
 	 */
 	public void start() {
-		this.timers.start();
 		this.server.start(this.host, this.requestedPort);
+		this.timers.start();
 		this.topology.workers().forEach((vm) -> this.directory.addNow(entryOf(vm)));
 		this.topology.endpoints().forEach((vm) -> this.directory.addNow(entryOf(vm)));
 		this.topology.entries().forEach((vm) -> this.directory.addNow(entryOf(vm)));
--- a/standin/src/main/java/io/lentilstream/standin/StandinServer.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinServer.java
@@ -1,5 +1,9 @@
 package io.lentilstream.standin;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.List;
 
 import io.jooby.Context;
@@ -38,6 +42,9 @@
 	}
 
 	void start(String host, int requestedPort) {
+		if (requestedPort != 0) {
+			requireFree(host, requestedPort);
+		}
 		for (int attempt = 1;; attempt++) {
 			ServerOptions options = new ServerOptions().setPort(requestedPort)
 				.setIoThreads(IO_THREADS)
@@ -59,6 +66,17 @@
 		}
 	}
 
+	// Jooby binds with SO_REUSEPORT, so a second process on a port in use would start and
+	// take part of the connections.
+	private static void requireFree(String host, int port) {
+		try (ServerSocket probe = new ServerSocket()) {
+			probe.bind(new InetSocketAddress(host, port));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot listen on " + host + ":" + port, ex);
+		}
+	}
+
 	private Jooby application() {
 		Jooby application = new Jooby();
 		application.setExecutionMode(ExecutionMode.EVENT_LOOP);
--- a/standin/src/main/java/io/lentilstream/standin/TimerQueue.java
+++ b/standin/src/main/java/io/lentilstream/standin/TimerQueue.java
@@ -25,7 +25,7 @@
 	 * Longest wait for the next look at the clock, in nanoseconds. An injected clock can
 	 * jump, so the thread cannot sleep until the due time of its first timer.
 	 */
-	private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(1);
+	private static final long LOOK_NANOS = TimeUnit.MILLISECONDS.toNanos(5);
 
 	private final MonotonicClock clock;
 
