Add the command bench slopes

Cause: the capacity page needs measured growth rates of the parts. Change: package slopes in benchmarks with one class per part, and the command bench slopes in cli.

--- /dev/null
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/MemoryStore.java
@@ -0,0 +1,82 @@
+package io.lentilstream.benchmarks.slopes;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+import io.lentilstream.platform.LeaseId;
+import io.lentilstream.platform.LeaseOutcome;
+import io.lentilstream.platform.ListOutcome;
+import io.lentilstream.platform.ReadOutcome;
+import io.lentilstream.platform.StoreKey;
+import io.lentilstream.platform.StoreWrite;
+import io.lentilstream.platform.StoredValue;
+import io.lentilstream.platform.WriteOutcome;
+
+/**
+ * Is a store in memory that counts its calls. Leases never lapse, since no process of a
+ * measurement stops.
+ */
+final class MemoryStore {
+
+	private final Map<StoreKey, StoredValue> values = new TreeMap<>();
+
+	private long leases;
+
+	private long reads;
+
+	private long writes;
+
+	private long writtenBytes;
+
+	WriteOutcome write(StoreWrite write) {
+		this.writes++;
+		StoredValue current = this.values.get(write.key());
+		long version = (current != null) ? current.version() : StoreWrite.ABSENT;
+		if (version != write.expectedVersion()) {
+			return new WriteOutcome.Conflict(Optional.ofNullable(current));
+		}
+		byte[] value = write.value().orElseThrow();
+		this.writtenBytes += value.length;
+		this.values.put(write.key(), new StoredValue(write.key(), value, version + 1));
+		return new WriteOutcome.Written(version + 1);
+	}
+
+	ReadOutcome read(StoreKey key) {
+		this.reads++;
+		return new ReadOutcome.Read(Optional.ofNullable(this.values.get(key)));
+	}
+
+	ListOutcome list(StoreKey prefix) {
+		this.reads++;
+		List<StoredValue> found = this.values.values()
+			.stream()
+			.filter((value) -> value.key().path().startsWith(prefix.path()))
+			.toList();
+		return new ListOutcome.Listed(found, this.writes);
+	}
+
+	LeaseOutcome grant() {
+		this.writes++;
+		return new LeaseOutcome.Granted(new LeaseId(++this.leases));
+	}
+
+	LeaseOutcome renew(LeaseId lease) {
+		this.writes++;
+		return new LeaseOutcome.Granted(lease);
+	}
+
+	long reads() {
+		return this.reads;
+	}
+
+	long writes() {
+		return this.writes;
+	}
+
+	long writtenBytes() {
+		return this.writtenBytes;
+	}
+
+}
--- a/cli/src/main/java/io/lentilstream/cli/CommandTable.java
+++ b/cli/src/main/java/io/lentilstream/cli/CommandTable.java
@@ -28,7 +28,8 @@
 			.with("tasks", TasksCommand::new)
 			.with("requests", RequestsCommand::new)
 			.with("status", StatusCommand::new)
-			.with("drain", DrainCommand::new);
+			.with("drain", DrainCommand::new)
+			.with("bench", BenchCommand::new);
 	}
 
 	CommandTable with(String name, Supplier<Command> command) {
