--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/EntryDaemonSlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/EntryDaemonSlope.java
@@ -156,7 +156,7 @@
 		long start = System.nanoTime();
 		List<CompletableFuture<?>> calls = new ArrayList<>();
 		for (int i = 0; i < rate * duration; i++) {
-			LockSupport.parkNanos(start + i * (TimeUnit.SECONDS.toNanos(1) / rate) - System.nanoTime());
+			LockSupport.parkNanos(start + TimeUnit.SECONDS.toNanos(i) / rate - System.nanoTime());
 			calls.add(this.client.sendAsync(request, HttpResponse.BodyHandlers.ofByteArray()).handle((answer, ex) -> {
 				if (answer != null && answer.statusCode() == 200) {
 					this.answered.incrementAndGet();
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/WorkerRenewalSlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/WorkerRenewalSlope.java
@@ -46,17 +46,11 @@
 			.iterator()
 			.next()
 			.stream()
-			.map(WorkerRenewalSlope::message)
+			.map(PlatformJson::message)
 			.toList();
 		return PlatformJson.write(new PlatformMessages.ReportsAnswer(reports));
 	}
 
-	private static PlatformMessages.ReportMessage message(TaskReport report) {
-		return new PlatformMessages.ReportMessage(report.task().value(), report.state(), report.epoch().value(),
-				PlatformJson.message(report.declared()), PlatformJson.message(report.used()), report.slowdown(),
-				report.checkpoint().orElse(null), report.failure().orElse(null));
-	}
-
 	private void readAll(byte[] json) {
 		for (int i = 0; i < this.repeats; i++) {
 			if (PlatformJson.read(json, PlatformMessages.ReportsAnswer.class).isEmpty()) {
--- a/cli/src/test/java/io/lentilstream/cli/CommandLineTests.java
+++ b/cli/src/test/java/io/lentilstream/cli/CommandLineTests.java
@@ -53,6 +53,9 @@
 					check --settings WRONG                                 | USAGE   | -                          | [standin] sed: found an unknown key, expected a known name; the nearest is 'seed'
 					standin                                                | USAGE   | -                          | --settings
 					standin --settings WRONG                               | USAGE   | -                          | [standin] seed: found nothing
+					bench --help                                           | SUCCESS | --json                     | -
+					bench                                                  | USAGE   | -                          | slopes
+					bench slope                                            | USAGE   | -                          | expected slopes, found slope
 					fail                                                   | FAILED  | -                          | lentilstream fail: failed
 					""")
 	void endsWithAStatusAndTheRightStream(String arguments, ExitCode code, String shown, String mistake) {
