--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/MemoryStore.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/MemoryStore.java
@@ -30,6 +30,8 @@
 
 	private long writtenBytes;
 
+	private long readBytes;
+
 	WriteOutcome write(StoreWrite write) {
 		this.writes++;
 		StoredValue current = this.values.get(write.key());
@@ -45,7 +47,9 @@
 
 	ReadOutcome read(StoreKey key) {
 		this.reads++;
-		return new ReadOutcome.Read(Optional.ofNullable(this.values.get(key)));
+		Optional<StoredValue> value = Optional.ofNullable(this.values.get(key));
+		value.ifPresent((found) -> this.readBytes += found.value().length);
+		return new ReadOutcome.Read(value);
 	}
 
 	ListOutcome list(StoreKey prefix) {
@@ -54,6 +58,7 @@
 			.stream()
 			.filter((value) -> value.key().path().startsWith(prefix.path()))
 			.toList();
+		found.forEach((value) -> this.readBytes += value.value().length);
 		return new ListOutcome.Listed(found, this.writes);
 	}
 
@@ -79,4 +84,8 @@
 		return this.writtenBytes;
 	}
 
+	long readBytes() {
+		return this.readBytes;
+	}
+
 }
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/ShardLogSlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/ShardLogSlope.java
@@ -14,7 +14,7 @@
 
 /**
  * Measures the bytes of log entries of a task shard, and the store writes of a shard log
- * by the rate of starts, in virtual time with snapshots.
+ * by the rate of starts, in virtual time with snapshots, and of a takeover of the log.
  */
 final class ShardLogSlope implements SlopeMeasurement {
 
@@ -50,20 +50,34 @@
 		byte[] snapshot = TaskShardRun.fill(OWNED_TASKS / TASKS_PER_WORKER, OWNED_TASKS).shard().snapshot();
 		List<SlopePoint> writes = new ArrayList<>();
 		List<SlopePoint> writtenBytes = new ArrayList<>();
+		List<SlopePoint> takeoverReads = new ArrayList<>();
+		List<SlopePoint> takeoverWrites = new ArrayList<>();
+		List<SlopePoint> takeoverBytes = new ArrayList<>();
 		for (int rate : this.startsPerSecond) {
-			Run run = new Run(bytesPerStart, snapshot);
+			Run run = new Run(new MemoryStore(), 1, bytesPerStart, snapshot);
 			run.run(rate, this.seconds);
 			writes.add(new SlopePoint(rate, (double) run.store.writes() / this.seconds));
 			writtenBytes.add(new SlopePoint(rate, (double) run.store.writtenBytes() / this.seconds));
+			MemoryStore store = run.store;
+			long reads = store.reads();
+			long writesBefore = store.writes();
+			long bytesBefore = store.readBytes();
+			new Run(store, 2, bytesPerStart, snapshot).recover();
+			takeoverReads.add(new SlopePoint(rate, store.reads() - reads));
+			takeoverWrites.add(new SlopePoint(rate, store.writes() - writesBefore));
+			takeoverBytes.add(new SlopePoint(rate, store.readBytes() - bytesBefore));
 		}
 		List<SlopePoint> perThousand = writes.stream()
 			.map((point) -> new SlopePoint(point.size(), point.value() * 1_000 / point.size()))
 			.toList();
-		return List
-			.of(entryBytes, Slope.of("log-writes", "store writes/s", "starts/s of the shard", writes),
-					Slope.of("log-writes-per-1000-starts", "store writes per 1,000 starts", "starts/s of the shard",
-							perThousand),
-					Slope.of("log-written-bytes", "bytes/s", "starts/s of the shard", writtenBytes));
+		return List.of(entryBytes, Slope.of("log-writes", "store writes/s", "starts/s of the shard", writes),
+				Slope.of("log-writes-per-1000-starts", "store writes per 1,000 starts", "starts/s of the shard",
+						perThousand),
+				Slope.of("log-written-bytes", "bytes/s", "starts/s of the shard", writtenBytes),
+				Slope.of("takeover-reads", "store reads per takeover of a log", "starts/s of the shard", takeoverReads),
+				Slope.of("takeover-writes", "store writes per takeover of a log", "starts/s of the shard",
+						takeoverWrites),
+				Slope.of("takeover-bytes", "bytes read per takeover of a log", "starts/s of the shard", takeoverBytes));
 	}
 
 	/**
@@ -71,7 +85,7 @@
 	 */
 	private static final class Run {
 
-		private final MemoryStore store = new MemoryStore();
+		private final MemoryStore store;
 
 		private final Deque<Due> due = new ArrayDeque<>();
 
@@ -83,23 +97,36 @@
 
 		private MonotonicTime now = MonotonicTime.ofMillis(0);
 
+		private boolean recovered;
+
 		private long committed;
 
 		private long appended;
 
-		Run(int bytesPerStart, byte[] snapshot) {
+		Run(MemoryStore store, long epoch, int bytesPerStart, byte[] snapshot) {
+			this.store = store;
 			this.snapshot = snapshot;
 			this.entry = new byte[bytesPerStart];
-			this.log = new ShardLog(ShardLogSettings.defaults(), TaskShardRun.SHARD, new Epoch(1), this.now);
+			this.log = new ShardLog(ShardLogSettings.defaults(), TaskShardRun.SHARD, new Epoch(epoch), this.now);
+		}
+
+		void recover() {
+			for (long millis = 0; !this.recovered; millis += STEP_MILLIS) {
+				advance(millis);
+			}
+		}
+
+		private void advance(long millis) {
+			this.now = MonotonicTime.ofMillis(millis);
+			while (!this.due.isEmpty() && !this.now.isBefore(this.due.peek().at())) {
+				complete(this.due.remove().action());
+			}
+			take(this.log.tick(this.now));
 		}
 
 		void run(int startsPerSecond, int seconds) {
 			for (long millis = 0; millis < seconds * 1_000L; millis += STEP_MILLIS) {
-				this.now = MonotonicTime.ofMillis(millis);
-				while (!this.due.isEmpty() && !this.now.isBefore(this.due.peek().at())) {
-					complete(this.due.remove().action());
-				}
-				take(this.log.tick(this.now));
+				advance(millis);
 				long wanted = startsPerSecond * (millis + STEP_MILLIS) / 1_000;
 				// The recovery takes the first instants.
 				while (millis >= 1_000 && this.appended < wanted) {
@@ -116,6 +143,9 @@
 				if (action instanceof LogAction.Committed done) {
 					this.committed += done.tokens().size();
 				}
+				else if (action instanceof LogAction.Recovered) {
+					this.recovered = true;
+				}
 				else if (action instanceof LogAction.SnapshotNeeded needed) {
 					take(this.log.snapshot(this.now, needed.sequence(), this.snapshot));
 				}
