--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/DocumentRelaySlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/DocumentRelaySlope.java
@@ -30,6 +30,8 @@
 
 	private static final String NANOS = "ns per change";
 
+	private static final List<String> NAMES = List.of("expected-time", "hedge-after", "queue-time", "timeout");
+
 	private static final String PATH = "/teams/bakery";
 
 	private static final int ZONE_PEERS = 6;
@@ -95,8 +97,11 @@
 			this.now = this.mesh.now();
 			this.replica = new SettingsReplica(PeerMesh.SELF, MembershipTiming.defaults(), SettingsInForce.format(),
 					this.mesh.view(), new SplittableRandom(1));
+			// Equal values would compress better than those of a real team.
+			SplittableRandom random = new SplittableRandom(1);
 			for (int i = 0; i < settings; i++) {
-				this.values.put(PATH + "/services/collection-" + i + "/timeout", "500ms");
+				this.values.put(PATH + "/services/collection-" + i / NAMES.size() + "/" + NAMES.get(i % NAMES.size()),
+						random.nextInt(1, 10_000) + "ms");
 			}
 			while (!this.replica.isReady() || this.watch == null) {
 				tick();
