Apply settings from one thread at a time and never an earlier revision

A thread that read the settings for a new list of VMs replaced the services after another thread had applied the change, so the change was undone until the next one. Ruled out: the store's watch (no gap between list and watch) and the replica, whose revision was right. Change: one lock around reading and replacing; a document below the revision in force is passed over. Conclusion: a violation of settings-in-force in the daemon, found by a test.

--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -141,6 +141,8 @@
 
 	private final PeerTransport transport;
 
+	private final Object applying = new Object();
+
 	private final AtomicBoolean draining = new AtomicBoolean();
 
 	private final CompletableFuture<Void> drained = new CompletableFuture<>();
@@ -323,6 +325,12 @@
 	}
 
 	private void updateTaskShards() {
+		synchronized (this.applying) {
+			updateTaskShardsAlone();
+		}
+	}
+
+	private void updateTaskShardsAlone() {
 		List<TeamQuota> quotas = this.settingsInForce.quotas(zones().size() * this.settings.shards().perZone());
 		Map<ShardId, List<WorkerDescription>> byShard = this.listed.stream()
 			.filter((entry) -> entry.role() == VmEntry.Role.WORKER)
@@ -339,9 +347,17 @@
 	}
 
 	/**
-	 * Puts the settings in force into effect in all parts.
+	 * Puts the settings in force into effect in all parts. One thread at a time does so:
+	 * otherwise a thread that read the settings before a change could overwrite what
+	 * another thread made of the changed ones.
 	 */
 	void applySettings() {
+		synchronized (this.applying) {
+			applySettingsAlone();
+		}
+	}
+
+	private void applySettingsAlone() {
 		var found = this.settingsInForce.services(this.slotCounts::of);
 		this.services.replace(found);
 		this.requests.perform(this.scheduler.updatePolicies(this.clock.now(),
--- a/entry/src/main/java/io/lentilstream/entry/settings/SettingsInForce.java
+++ b/entry/src/main/java/io/lentilstream/entry/settings/SettingsInForce.java
@@ -19,6 +19,7 @@
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.KindName;
 import io.lentilstream.model.Resources;
+import io.lentilstream.model.Revision;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
 import io.lentilstream.platform.StoreKey;
@@ -45,6 +46,8 @@
 
 	private final Map<TeamId, Map<String, String>> values = new HashMap<>();
 
+	private final Map<StoreKey, Revision> revisions = new HashMap<>();
+
 	private PlatformSettings platform = PlatformSettings.of(Map.of());
 
 	/**
@@ -63,11 +66,17 @@
 	}
 
 	/**
-	 * Puts a document in force.
+	 * Puts a document in force. Documents that were applied in order may arrive here from
+	 * several threads in another order, so an earlier revision than the one in force is
+	 * passed over.
 	 * @param document the document
 	 */
 	public synchronized void apply(SettingsDocument document) {
 		StoreKey key = document.key();
+		if (document.revision().compareTo(this.revisions.getOrDefault(key, Revision.NONE)) <= 0) {
+			return;
+		}
+		this.revisions.put(key, document.revision());
 		DocumentOutcome outcome = DocumentCodec.decode(key.path(), document.content().array());
 		if (!(outcome instanceof DocumentOutcome.Decoded decoded)) {
 			throw new IllegalStateException("a document in force cannot be read: " + key);
