--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -188,9 +188,10 @@
 
 	private EntryShardFactory shardFactory(RequestIds ids) {
 		EntrySettings.Shards counts = this.settings.shards();
-		int zones = Math.max(1, this.settingsInForce.zonesOf(this.settings.region(), this.settings.zone()).size());
 		return new EntryShardFactory(
-				EntrySettingsMapping.logs(this.settings, zones * counts.perZone() + counts.requestShardsPerRegion()),
+				() -> EntrySettingsMapping.logs(this.settings,
+						this.settingsInForce.zoneCount() * counts.perZone()
+								+ this.settingsInForce.regionCount() * counts.requestShardsPerRegion()),
 				EntrySettingsMapping.tasks(this.settings), this.platform.workers(),
 				new RecordShardDriver.Environment(this.platform.store(), this.platform.endpoints(), this.requests,
 						this.settingsInForce, ids, this.clock, this.threads.timers()),
@@ -331,7 +332,8 @@
 	}
 
 	private void updateTaskShardsAlone() {
-		List<TeamQuota> quotas = this.settingsInForce.quotas(zones().size() * this.settings.shards().perZone());
+		List<TeamQuota> quotas = this.settingsInForce
+			.quotas(this.settingsInForce.zoneCount() * this.settings.shards().perZone());
 		Map<ShardId, List<WorkerDescription>> byShard = this.listed.stream()
 			.filter((entry) -> entry.role() == VmEntry.Role.WORKER)
 			.collect(
--- a/entry/src/main/java/io/lentilstream/entry/EntryShardFactory.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryShardFactory.java
@@ -1,5 +1,7 @@
 package io.lentilstream.entry;
 
+import java.util.function.Supplier;
+
 import io.lentilstream.entry.records.RecordShardDriver;
 import io.lentilstream.entry.shards.OwnedShards;
 import io.lentilstream.entry.tasks.TaskShardDriver;
@@ -15,13 +17,14 @@
 /**
  * Creates the drivers of gained shards.
  *
- * @param logs the limits of shard logs
+ * @param logs returns the limits of shard logs, whose share of the store's writes depends
+ * on the settings in force
  * @param tasks the settings of decisions about tasks
  * @param workers commands workers
  * @param environment what all shards share
  * @param threads the threads of the daemon
  */
-record EntryShardFactory(ShardLogSettings logs, TaskSettings tasks, WorkerClient workers,
+record EntryShardFactory(Supplier<ShardLogSettings> logs, TaskSettings tasks, WorkerClient workers,
 		RecordShardDriver.Environment environment, EntryThreads threads) implements OwnedShards.Factory {
 
 	@Override
@@ -38,7 +41,7 @@
 	}
 
 	private ShardLog newLog(ShardId shard, Epoch epoch) {
-		return new ShardLog(this.logs, shard, epoch, this.environment.clock().now());
+		return new ShardLog(this.logs.get(), shard, epoch, this.environment.clock().now());
 	}
 
 }
--- a/entry/src/main/java/io/lentilstream/entry/settings/SettingsInForce.java
+++ b/entry/src/main/java/io/lentilstream/entry/settings/SettingsInForce.java
@@ -157,6 +157,22 @@
 		return zones;
 	}
 
+	/**
+	 * Returns the number of zones of the whole system.
+	 * @return the number of zones in the settings, at least 1
+	 */
+	public synchronized int zoneCount() {
+		return Math.max(1, this.platform.regions().size());
+	}
+
+	/**
+	 * Returns the number of regions of the whole system.
+	 * @return the number of regions in the settings, at least 1
+	 */
+	public synchronized int regionCount() {
+		return Math.max(1, (int) this.platform.regions().values().stream().distinct().count());
+	}
+
 	/**
 	 * Returns the values of a team for the check of access keys.
 	 * @param team the team
--- a/settings/src/main/java/io/lentilstream/settings/schema/SettingsValidator.java
+++ b/settings/src/main/java/io/lentilstream/settings/schema/SettingsValidator.java
@@ -57,10 +57,6 @@
 				}
 			}
 			case SettingsSchema.SERVICE + "expected-time" -> checkAtMost(path, parent + "timeout", values, 1, mistakes);
-			case SettingsSchema.PLATFORM + "lease-safety-margin" ->
-				checkAtMost(path, parent + "lease-length", values, 2, mistakes);
-			case SettingsSchema.PLATFORM + "clock-margin" ->
-				checkAtMost(path, parent + "task-lease", values, 2, mistakes);
 			default -> {
 			}
 		}
