--- /dev/null
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/entry/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Measures the entry daemon as a whole.
+ */
+package io.lentilstream.benchmarks.entry;
