Give a new interference score its time before it decays

Cause: the first report of a task with more than 5% slowdown next to another class created a score without a time, and its decay read the missing time. The NullPointerException came out of TaskShard.workerAnswered, so any interference stopped the shard.

Change: a new score starts at the time of the report.

Conclusion: no test had reported a slowdown above 1 before.

--- a/tasks/src/main/java/io/lentilstream/tasks/usage/InterferenceEstimator.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/usage/InterferenceEstimator.java
@@ -56,6 +56,7 @@
 				return;
 			}
 			score = new Score();
+			score.time = now;
 			this.scores.put(key, score);
 		}
 		double value = decayed(score, now);
