Keep a start that waits for its commit when an older attempt is listed

Cause: a renewal has no entries and is sent at once, so it can reach the worker before a start that was decided earlier and waits for its group commit. The worker then lists the stopped earlier attempt of the same task. The number of the renewal is higher than that of the start, so the shard took the report for the new attempt and released its capacity. The start still arrived: the task ran without a commitment and could be started a second time.

Change: while a start is outstanding, a stopped or failed attempt in a list is passed over, as it already was until the start is answered.

Before: OvertakenStartTests fails with a third start command. After: it passes.

Conclusion: the sequence test commits in order with the renewals, so it could not reach this order.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ReconciliationRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ReconciliationRule.java
@@ -96,8 +96,10 @@
 		WorkerRecord worker = task.worker;
 		boolean ended = report.state() != TaskReport.State.RUNNING;
 		// What ended before the start was answered may be an earlier attempt at this
-		// worker.
-		if (ended && report.state() != TaskReport.State.DONE && command <= task.confirmCommand) {
+		// worker. A renewal has no entries, so it can overtake a start that waits for its
+		// group commit.
+		boolean starting = task.command != 0 && task.command == task.attemptCommand;
+		if (ended && report.state() != TaskReport.State.DONE && (starting || command <= task.confirmCommand)) {
 			return;
 		}
 		if (ended && isBeingStopped(task)) {
