Report exceptions in callbacks of the store and the list of VMs as broken invariants

Cause: a future swallows the exception of its callback, so a broken invariant there would go unseen. Change: the callbacks pass exceptions on.

--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -174,7 +174,8 @@
 		this.transport = new PeerTransport(self,
 				new PeerKey(new String(settings.peerKey().reveal(), java.nio.charset.StandardCharsets.UTF_8)),
 				options.random(), this.peers, PEER_THREADS, settings.limits().frameBytes());
-		this.directory = new DirectoryDriver(this.platform.directory(), this::zones, this::listed);
+		this.directory = new DirectoryDriver(this.platform.directory(), this::zones, this::listed,
+				options.brokenInvariant());
 		this.shutdown = new GracefulShutdown(new GracefulShutdown.Steps() {
 
 			@Override
--- a/entry/src/main/java/io/lentilstream/entry/directory/DirectoryDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/directory/DirectoryDriver.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.ScheduledFuture;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 
 import io.lentilstream.model.AvailabilityZoneId;
@@ -23,6 +24,8 @@
 
 	private final BiConsumer<AvailabilityZoneId, List<VmEntry>> listed;
 
+	private final Consumer<Throwable> brokenInvariant;
+
 	private ScheduledFuture<?> polls;
 
 	private volatile boolean closed;
@@ -32,12 +35,14 @@
 	 * @param directory reads the list
 	 * @param zones the zones to read
 	 * @param listed is told each list
+	 * @param brokenInvariant is told an exception that must stop the process
 	 */
 	public DirectoryDriver(VmDirectory directory, Supplier<List<AvailabilityZoneId>> zones,
-			BiConsumer<AvailabilityZoneId, List<VmEntry>> listed) {
+			BiConsumer<AvailabilityZoneId, List<VmEntry>> listed, Consumer<Throwable> brokenInvariant) {
 		this.directory = directory;
 		this.zones = zones;
 		this.listed = listed;
+		this.brokenInvariant = brokenInvariant;
 	}
 
 	/**
@@ -53,12 +58,22 @@
 		for (AvailabilityZoneId zone : this.zones.get()) {
 			this.directory.list(zone).thenAccept((entries) -> {
 				if (!this.closed && entries.isPresent()) {
-					this.listed.accept(zone, entries.get());
+					pass(zone, entries.get());
 				}
 			});
 		}
 	}
 
+	// A future would swallow the exception of a broken invariant.
+	private void pass(AvailabilityZoneId zone, List<VmEntry> entries) {
+		try {
+			this.listed.accept(zone, entries);
+		}
+		catch (RuntimeException ex) {
+			this.brokenInvariant.accept(ex);
+		}
+	}
+
 	@Override
 	public void close() {
 		this.closed = true;
--- a/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
@@ -127,17 +127,27 @@
 		}
 		else if (action instanceof MembershipAction.ListStore list) {
 			this.store.list(list.prefix())
-				.thenAccept((outcome) -> perform(this.replica.listed(this.clock.now(), list, outcome)));
+				.thenAccept((outcome) -> guarded(() -> this.replica.listed(this.clock.now(), list, outcome)));
 		}
 		else if (action instanceof MembershipAction.WatchStore watch) {
 			this.store.watch(watch.prefix(), watch.afterRevision(), watch.maxWait())
-				.thenAccept((outcome) -> perform(this.replica.watched(this.clock.now(), watch, outcome)));
+				.thenAccept((outcome) -> guarded(() -> this.replica.watched(this.clock.now(), watch, outcome)));
 		}
 		else {
 			tell(action);
 		}
 	}
 
+	// A future would swallow the exception of a broken invariant.
+	private void guarded(Supplier<List<MembershipAction>> input) {
+		try {
+			perform(input.get());
+		}
+		catch (RuntimeException ex) {
+			this.listener.brokenInvariant(ex);
+		}
+	}
+
 	private void tell(MembershipAction action) {
 		if (action instanceof MembershipAction.PeerChanged changed) {
 			logger.atInfo().log(PREFIX + "%s is %s, was %s.", changed.vm(), changed.to(), changed.from());
--- a/entry/src/test/java/io/lentilstream/entry/EntryDaemonTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/EntryDaemonTests.java
@@ -81,10 +81,11 @@
 				+ "\"/teams/team/kinds/payment/class\": \"deferrable\", "
 				+ "\"/teams/team/kinds/payment/service\": \"echo\"}}");
 		assertThat(changed.status()).as(changed.body()).isEqualTo(200);
-		Awaitility.await()
-			.atMost(30, TimeUnit.SECONDS)
-			.untilAsserted(() -> assertThat(call("POST", "/services/team/echo/x", "text/plain", "warm", ""))
-				.matches((answer) -> answer.status() == 200));
+		Awaitility.await().atMost(30, TimeUnit.SECONDS).untilAsserted(() -> {
+			assertThat(BROKEN).isEmpty();
+			assertThat(call("POST", "/services/team/echo/x", "text/plain", "warm", ""))
+				.matches((answer) -> answer.status() == 200);
+		});
 	}
 
 	@AfterAll
