Keep learning interference after the first late report

Cause: the first report of a slowdown above the noise read the time of a new score before it was set, so the shard failed with a NullPointerException. A slowdown that is not finite stayed in the moving average for good. Change: a new score starts at the time of its report; slowdowns that are not finite are passed over. The sequence test also sends usage and slowdown reports and lets single programs fail on a worker; its checks, its seed and its 300 tries are unchanged. Its events are now drawn from 46 kinds, not 40.

--- a/tasks/src/main/java/io/lentilstream/tasks/usage/InterferenceEstimator.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/usage/InterferenceEstimator.java
@@ -38,10 +38,15 @@
 	 * Takes the slowdown of a task next to another class.
 	 * @param victim the class of the reporting task
 	 * @param other a class on the same VM
-	 * @param slowdown the run time relative to an undisturbed run
+	 * @param slowdown the run time relative to an undisturbed run; passed over if it is
+	 * not finite
 	 * @param now the current time
 	 */
 	public void observe(int victim, int other, double slowdown, MonotonicTime now) {
+		if (!Double.isFinite(slowdown)) {
+			// One such value would stay in the moving average for good.
+			return;
+		}
 		double extra = Math.max(0, slowdown - 1);
 		long key = key(victim, other);
 		Score score = this.scores.get(key);
@@ -55,7 +60,7 @@
 			if (this.scores.size() >= this.maxPairs) {
 				return;
 			}
-			score = new Score();
+			score = new Score(now);
 			this.scores.put(key, score);
 		}
 		double value = decayed(score, now);
@@ -107,6 +112,10 @@
 
 		private MonotonicTime time;
 
+		private Score(MonotonicTime time) {
+			this.time = time;
+		}
+
 	}
 
 }
--- a/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
@@ -24,6 +24,9 @@
 
 	final Resources capacity;
 
+	/** The capacity in the live list. */
+	Resources listed;
+
 	final Map<TaskId, Run> runs = new LinkedHashMap<>();
 
 	/** Whether commands reach the worker. */
@@ -35,6 +38,9 @@
 	/** Programs that fail here, with the reason; the key "*" stands for all. */
 	final Map<String, String> failures = new LinkedHashMap<>();
 
+	/** The throttled tasks, with their shares. */
+	final Map<TaskId, Double> throttles = new LinkedHashMap<>();
+
 	private Epoch highest = Epoch.NONE;
 
 	private int checkpoints;
@@ -42,6 +48,7 @@
 	FakeWorker(String vm, Resources capacity) {
 		this.vm = new VmId(vm);
 		this.capacity = capacity;
+		this.listed = capacity;
 	}
 
 	WorkerOutcome execute(Epoch epoch, WorkerCommand command, MonotonicTime now) {
@@ -73,7 +80,9 @@
 			}
 			return done(stop.tasks());
 		}
-		return done(List.of(((WorkerCommand.Throttle) command).task()));
+		WorkerCommand.Throttle throttle = (WorkerCommand.Throttle) command;
+		this.throttles.put(throttle.task(), throttle.share());
+		return done(List.of(throttle.task()));
 	}
 
 	void setReachable(boolean reachable) {
@@ -108,6 +117,14 @@
 			.reduce(Resources.NONE, Resources::plus);
 	}
 
+	/**
+	 * Returns the reports of all tasks.
+	 * @return the reports
+	 */
+	List<TaskReport> reports() {
+		return this.runs.values().stream().map(Run::report).toList();
+	}
+
 	private WorkerOutcome start(Epoch epoch, WorkerCommand.Start start, MonotonicTime now) {
 		if (this.refusesStarts) {
 			return new WorkerOutcome.Refused("no");
@@ -149,9 +166,9 @@
 
 		Optional<String> failure = Optional.empty();
 
-		Resources used = Resources.NONE;
+		private Resources used = Resources.NONE;
 
-		double slowdown = 1;
+		private double slowdown = 1;
 
 		private MonotonicTime leaseEnd;
 
@@ -166,6 +183,16 @@
 			return this.state == TaskReport.State.RUNNING;
 		}
 
+		/**
+		 * Sets what later reports say.
+		 * @param use the measured use
+		 * @param runTime the measured run time relative to an undisturbed run
+		 */
+		void measure(Resources use, double runTime) {
+			this.used = use;
+			this.slowdown = runTime;
+		}
+
 		private void renew(MonotonicTime end) {
 			if (runs()) {
 				this.leaseEnd = end;
--- a/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
@@ -20,6 +20,7 @@
 import io.lentilstream.model.TaskId;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
+import io.lentilstream.model.VmId;
 import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.tasks.log.LogDecodeOutcome;
 import io.lentilstream.tasks.log.TaskLogCodec;
@@ -37,6 +38,10 @@
 
 	static final TeamId TEAM = new TeamId("ash");
 
+	static final TeamId OTHER_TEAM = new TeamId("bark");
+
+	static final String PROGRAM = "reconcile";
+
 	static final Duration ENTRY_LEASE = Duration.ofSeconds(10);
 
 	final TaskSettings settings;
@@ -75,8 +80,8 @@
 	}
 
 	static JobSubmission job(String key, Urgency urgency, long cores, int count) {
-		return JobSubmission.ofEqualTasks(TEAM, new JobId(key), urgency, "reconcile",
-				new Resources(cores * 1000, 1024, 0), count);
+		return JobSubmission.ofEqualTasks(TEAM, new JobId(key), urgency, PROGRAM, new Resources(cores * 1000, 1024, 0),
+				count);
 	}
 
 	/**
@@ -115,7 +120,7 @@
 		List<WorkerDescription> list = new ArrayList<>();
 		for (FakeWorker worker : this.workers.values()) {
 			int number = Integer.parseInt(worker.vm.value().substring(3));
-			list.add(new WorkerDescription(worker.vm, new RackId("rack-" + number % 3), worker.capacity,
+			list.add(new WorkerDescription(worker.vm, new RackId("rack-" + number % 3), worker.listed,
 					this.leaving.contains(worker.vm.value())));
 		}
 		this.owner.take(this.owner.shard.updateWorkers(list, this.now), this.now);
@@ -125,6 +130,14 @@
 		this.owner.take(this.owner.shard.submit(job, this.now), this.now);
 	}
 
+	/**
+	 * Sends reports that are not the outcome of a command.
+	 * @param worker the worker
+	 */
+	void report(FakeWorker worker) {
+		this.owner.take(this.owner.shard.reportsArrived(worker.vm, worker.reports(), this.now), this.now);
+	}
+
 	void cancel(String key) {
 		this.owner.take(this.owner.shard.cancel(TEAM, new JobId(key), this.now), this.now);
 	}
@@ -234,6 +247,19 @@
 		settle();
 	}
 
+	/**
+	 * Runs without faults in steps of a second.
+	 * @param time the virtual time
+	 */
+	void pass(Duration time) {
+		for (long second = 0; second < time.toSeconds(); second++) {
+			renewEntryLease();
+			settle();
+			advance(Duration.ofSeconds(1));
+		}
+		settle();
+	}
+
 	void settle() {
 		for (int round = 0; round < 10_000 && !isQuiet(); round++) {
 			while (!this.owner.uncommitted.isEmpty()) {
@@ -253,6 +279,32 @@
 		return this.owner.uncommitted.isEmpty() && this.owner.outbox.isEmpty() && this.owner.inbox.isEmpty();
 	}
 
+	/**
+	 * Returns where the placed tasks of a job are.
+	 * @param team the team
+	 * @param job the key of the job
+	 * @return the names of the VMs, in the order of the tasks
+	 */
+	List<String> vmsOf(TeamId team, String job) {
+		return this.owner.shard.tasks(team, new JobId(job))
+			.stream()
+			.flatMap((task) -> task.vm().stream())
+			.map(VmId::value)
+			.toList();
+	}
+
+	/**
+	 * Sets what the tasks of a job report.
+	 * @param job the key of the job of the first team
+	 * @param use the measured use
+	 * @param slowdown the measured run time relative to an undisturbed run
+	 */
+	void measure(String job, Resources use, double slowdown) {
+		for (TaskView task : this.owner.shard.tasks(TEAM, new JobId(job))) {
+			workerOf(task.task()).ifPresent((worker) -> worker.runs.get(task.task()).measure(use, slowdown));
+		}
+	}
+
 	TaskState stateOf(String job, int index) {
 		return this.owner.shard.tasks(TEAM, new JobId(job)).get(index).state();
 	}
--- a/tasks/src/test/java/io/lentilstream/tasks/TaskShardSequenceTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/TaskShardSequenceTests.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.constraints.IntRange;
 import net.jqwik.api.constraints.Size;
 
+import io.lentilstream.model.Resources;
 import io.lentilstream.model.TaskId;
 import io.lentilstream.model.Urgency;
 
@@ -17,22 +18,28 @@
 
 /**
  * Guards against a task in two places, a VM over its capacity, work resumed twice or from
- * an old checkpoint, and lost jobs, under deaths, pauses, lost replies, lapsed leases and
- * takeovers in any order.
+ * an old checkpoint, and lost jobs, under deaths, pauses, lost replies, lapsed leases,
+ * takeovers, failing workers, and reports of any use and slowdown in any order.
  */
 class TaskShardSequenceTests {
 
 	private static final Duration[] TIMES = { Duration.ofMillis(100), Duration.ofSeconds(1), Duration.ofSeconds(6),
 			Duration.ofSeconds(20) };
 
+	/** Uses from none to several times the declared size of any task of the test. */
+	private static final Resources[] USES = { Resources.NONE, new Resources(100, 100, 0), new Resources(2000, 1024, 0),
+			new Resources(9000, 1500, 0), new Resources(20_000, 9000, 0) };
+
+	private static final double[] SLOWDOWNS = { 0, 1, 1.5, 4, Double.NaN, Double.POSITIVE_INFINITY };
+
 	@Property(tries = 300, seed = "20261204", shrinking = ShrinkingMode.BOUNDED)
 	void keepsItsGuaranteesUnderFaultsInAnyOrder(
 			@ForAll @Size(min = 50, max = 500) List<@IntRange(min = 0, max = 999_999) Integer> script) {
 		ShardWorld world = new ShardWorld(4, TestSettings.shortGrace());
 		int jobs = 0;
 		for (int event : script) {
-			int choice = event / 40;
-			switch (event % 40) {
+			int choice = event / 46;
+			switch (event % 46) {
 				case 0, 1, 2 -> world.submit(
 						ShardWorld.job("job-" + jobs++, Urgency.values()[choice % 3], 1 + choice % 5, 1 + choice % 4));
 				case 3 -> world.cancel("job-" + choice % (jobs + 1));
@@ -47,7 +54,10 @@
 				case 35 -> world.takeSnapshot();
 				case 36 -> toggleLeaving(world, choice);
 				case 37 -> worker(world, choice).setRefusesStarts(choice % 4 == 0);
-				case 38 -> restartUnderFailure(world, choice);
+				case 38 -> toggleFailure(world, choice, "*");
+				case 39 -> toggleFailure(world, choice, ShardWorld.PROGRAM);
+				case 40, 41, 42 -> measure(world, choice);
+				case 43, 44 -> world.report(worker(world, choice));
 				default -> world.renewEntryLease();
 			}
 		}
@@ -61,6 +71,7 @@
 			worker.reachable = true;
 			worker.refusesStarts = false;
 			worker.failures.clear();
+			worker.runs.values().forEach((run) -> run.measure(Resources.NONE, 1));
 		}
 		world.earlier.clear();
 		world.list();
@@ -142,13 +153,19 @@
 		world.list();
 	}
 
-	private static void restartUnderFailure(ShardWorld world, int choice) {
+	private static void toggleFailure(ShardWorld world, int choice, String program) {
 		FakeWorker worker = worker(world, choice);
-		if (worker.failures.isEmpty()) {
-			worker.failures.put("*", "disk");
+		if (worker.failures.remove(program) == null) {
+			worker.failures.put(program, "disk");
 		}
-		else {
-			worker.failures.clear();
+	}
+
+	private static void measure(ShardWorld world, int choice) {
+		FakeWorker worker = worker(world, choice);
+		List<TaskId> running = worker.running();
+		if (!running.isEmpty()) {
+			FakeWorker.Run run = worker.runs.get(running.get(choice % running.size()));
+			run.measure(USES[choice / 4 % USES.length], SLOWDOWNS[choice / 16 % SLOWDOWNS.length]);
 		}
 	}
 
