Give reclaimed room to the team that waits for it

Cause: tasks evicted by reclaim took the freed room again, so the waiting team got nothing while evictions went on; each tick evicted again for the same task until the first victim had stopped; a set larger than the burst was never allowed and held back all other classes; a full burst plus the refill exceeded the bound within a minute. Change: the VM is held until the room is complete, one room is made per waiting task, a set may be taken in advance, and the evictions of the last minute are counted. The fake world checks accepted jobs of every team.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
@@ -107,7 +107,8 @@
 		VictimFinder victims = new VictimFinder(this.state, this.fairShare);
 		EvictionBudget budget = new EvictionBudget(settings.evictionsPerMinute(), takeover);
 		this.urgentRoom = new UrgentRoomRule(this.state, this.queue, victims, this.evictions);
-		this.reclaim = new ReclaimRule(this.state, this.queue, this.fairShare, victims, this.evictions, budget);
+		this.reclaim = new ReclaimRule(this.state, this.queue, this.fairShare, victims, this.evictions, budget,
+				this.placements);
 		this.leaving = new LeavingRule(this.state, this.evictions);
 		RepeatedFailureRule failures = new RepeatedFailureRule(this.state, this.queue, this.placements, this.probation,
 				this.jobEnds);
@@ -357,6 +358,7 @@
 				this.opening.refresh(worker, now);
 			}
 		}
+		this.reclaim.reopen();
 		this.starts.apply(step, now);
 		this.urgentRoom.tick(step, now);
 		if (slow) {
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/UrgentRoomRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/UrgentRoomRule.java
@@ -44,7 +44,7 @@
 			if (!workClass.urgent()) {
 				continue;
 			}
-			int wanted = waiting(workClass) - workClass.roomsRequested;
+			int wanted = workClass.waiting(MAX_ROOMS_PER_TICK) - workClass.roomsRequested;
 			while (wanted > 0 && rooms < MAX_ROOMS_PER_TICK && makeRoom(workClass, step, now)) {
 				wanted--;
 				rooms++;
@@ -83,15 +83,4 @@
 		}
 	}
 
-	private static int waiting(WorkClass workClass) {
-		int sum = 0;
-		for (TaskGroup group : workClass.queue) {
-			sum += group.waiting();
-			if (sum >= MAX_ROOMS_PER_TICK) {
-				return MAX_ROOMS_PER_TICK;
-			}
-		}
-		return sum;
-	}
-
 }
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkClass.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkClass.java
@@ -100,6 +100,22 @@
 		return null;
 	}
 
+	/**
+	 * Returns the number of waiting tasks, up to a limit.
+	 * @param limit the limit
+	 * @return the number; may count some that ended while they waited
+	 */
+	int waiting(int limit) {
+		int sum = 0;
+		for (TaskGroup group : this.queue) {
+			sum += group.waiting();
+			if (sum >= limit) {
+				return limit;
+			}
+		}
+		return sum;
+	}
+
 	private int cap(int learned, long declared, long largest) {
 		int factor = urgent() ? Math.max(SizeFactor.ONE, learned) : learned;
 		if (factor > SizeFactor.ONE && declared > 0) {
--- a/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
@@ -35,6 +35,11 @@
 	/** Whether the worker refuses starts. */
 	boolean refusesStarts;
 
+	/**
+	 * Whether the worker carries checkpoint commands out late, so that no reply comes.
+	 */
+	boolean checkpointsHang;
+
 	/** Programs that fail here, with the reason; the key "*" stands for all. */
 	final Map<String, String> failures = new LinkedHashMap<>();
 
--- a/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
@@ -52,7 +52,7 @@
 
 	final List<byte[]> log = new ArrayList<>();
 
-	final Set<JobId> accepted = new LinkedHashSet<>();
+	final Set<TaskAction.Tell> accepted = new LinkedHashSet<>();
 
 	FakeOwner owner;
 
@@ -171,7 +171,7 @@
 			from.run(step, this.now);
 			for (TaskAction.Tell tell : from.told.subList(before, from.told.size())) {
 				if (tell.answer() instanceof JobAnswer.Accepted) {
-					this.accepted.add(tell.job());
+					this.accepted.add(tell);
 				}
 			}
 		}
@@ -204,6 +204,11 @@
 		}
 		else if (worker.reachable && !sent.time().plus(this.settings.clockMargin()).isBefore(this.now)) {
 			WorkerOutcome reply = worker.execute(from.shard.epoch(), send.command(), this.now);
+			boolean hangs = worker.checkpointsHang && send.command() instanceof WorkerCommand.Checkpoint;
+			if (hangs) {
+				// The reply is still awaited.
+				return;
+			}
 			outcome = replyArrives ? reply : outcome;
 			if (send.command() instanceof WorkerCommand.Start start && !(reply instanceof WorkerOutcome.Fenced)) {
 				checkStart(start);
@@ -346,8 +351,8 @@
 				.as("commitments within the capacity of " + commitment)
 				.isTrue();
 		}
-		for (JobId job : this.accepted) {
-			assertThat(this.owner.shard.job(TEAM, job)).as("accepted job").isPresent();
+		for (TaskAction.Tell tell : this.accepted) {
+			assertThat(this.owner.shard.job(tell.team(), tell.job())).as("accepted job").isPresent();
 		}
 	}
 
--- a/tasks/src/test/java/io/lentilstream/tasks/TestSettings.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/TestSettings.java
@@ -16,12 +16,25 @@
 	 * @return the settings
 	 */
 	static TaskSettings shortGrace() {
+		return settings(Duration.ofSeconds(30), TaskDefaults.EVICTIONS_PER_MINUTE);
+	}
+
+	/**
+	 * Returns the defaults with another bound on evictions.
+	 * @param perMinute the evictions per minute
+	 * @return the settings
+	 */
+	static TaskSettings evictionsPerMinute(int perMinute) {
+		return settings(TaskDefaults.OUTAGE_GRACE, perMinute);
+	}
+
+	private static TaskSettings settings(Duration outageGrace, int evictionsPerMinute) {
 		TaskSettings defaults = TaskDefaults.settings();
-		return new TaskSettings(defaults.taskLease(), defaults.clockMargin(), Duration.ofSeconds(30),
-				defaults.reservedShare(), defaults.urgentStart(), defaults.checkpointPatience(), defaults.probation(),
-				defaults.failuresBeforeProbation(), defaults.distinctWorkersBeforeFailure(),
-				defaults.evictionsPerMinute(), defaults.jobRetention(), defaults.maxUnfinishedTasks(),
-				defaults.maxTasksPerJob(), defaults.unplaceableAfter(), defaults.interferenceHalfLife());
+		return new TaskSettings(defaults.taskLease(), defaults.clockMargin(), outageGrace, defaults.reservedShare(),
+				defaults.urgentStart(), defaults.checkpointPatience(), defaults.probation(),
+				defaults.failuresBeforeProbation(), defaults.distinctWorkersBeforeFailure(), evictionsPerMinute,
+				defaults.jobRetention(), defaults.maxUnfinishedTasks(), defaults.maxTasksPerJob(),
+				defaults.unplaceableAfter(), defaults.interferenceHalfLife());
 	}
 
 }
