Judge probes by their own run and their own failures

Cause: a probe that started late counted as passed at its first report, since the time ran from the end of the probation. A failed probe counted as evidence against its job, which was given up one worker early. Change: the time of a probe runs from its start; workers are counted after probation has dropped the failures of a worker that fails everything. Conclusion: workers that fail after a while no longer pass as healthy.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/FailureEvidence.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/FailureEvidence.java
@@ -27,6 +27,15 @@
 		return workers.size();
 	}
 
+	/**
+	 * Returns on how many workers something failed for a reason.
+	 * @param reason the reason
+	 * @return the number of distinct workers
+	 */
+	int count(String reason) {
+		return (this.workersByReason != null) ? this.workersByReason.getOrDefault(reason, Set.of()).size() : 0;
+	}
+
 	boolean contains(WorkerRecord worker) {
 		return this.workersByReason != null
 				&& this.workersByReason.values().stream().anyMatch((workers) -> workers.contains(worker));
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/RepeatedFailureRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/RepeatedFailureRule.java
@@ -50,12 +50,14 @@
 		}
 		TaskGroup group = task.group;
 		group.failuresInRow++;
-		int groupWorkers = group.failures.add(reason, worker);
+		group.failures.add(reason, worker);
 		if (task.failures == null) {
 			task.failures = new FailureEvidence();
 		}
 		int taskWorkers = task.failures.add(reason, worker);
 		this.probation.failed(worker, task, now);
+		// Counted after probation, which drops failures on workers that fail everything.
+		int groupWorkers = group.failures.count(reason);
 		int enough = enoughWorkers();
 		if (!group.succeeded && group.failuresInRow >= this.state.settings.distinctWorkersBeforeFailure()
 				&& groupWorkers >= enough) {
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/StartRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/StartRule.java
@@ -89,7 +89,7 @@
 		workClass.blockedSize = null;
 		group.waitingSinceNanos = now.nanos();
 		this.queue.rotate(workClass);
-		this.opening.afterPlacement(worker);
+		this.opening.afterPlacement(worker, now);
 	}
 
 	private void start(TaskRecord task, WorkerRecord worker, SizeFactor factor, Resources size, StepBuilder step,
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkerOpeningRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkerOpeningRule.java
@@ -28,9 +28,11 @@
 		}
 	}
 
-	void afterPlacement(WorkerRecord worker) {
+	void afterPlacement(WorkerRecord worker, MonotonicTime now) {
 		if (worker.probation == WorkerRecord.ProbationState.PROBE_DUE) {
 			worker.probation = WorkerRecord.ProbationState.PROBING;
+			// The probe must run for a whole probation time, however late it starts.
+			worker.probationUntilNanos = now.nanos();
 			this.state.ledger.setOpen(worker.ledgerIndex, false);
 		}
 	}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkerRecord.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkerRecord.java
@@ -60,6 +60,7 @@
 
 	ProbationState probation = ProbationState.NONE;
 
+	/** When the probe is due; when it started, once it runs. */
 	long probationUntilNanos;
 
 	/** The groups whose tasks failed here since the last success. */
--- a/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
@@ -310,6 +310,24 @@
 		}
 	}
 
+	/**
+	 * Makes a worker fail everything until it is on probation, and ends all tasks.
+	 * @param worker the worker
+	 */
+	void putOnProbation(FakeWorker worker) {
+		worker.failures.put("*", "disk");
+		for (int i = 0; i < 8; i++) {
+			// Together the jobs need all workers, so that this one is not avoided.
+			submit(job("early-" + i, Urgency.BATCH, 1, 4));
+			run(1);
+		}
+		assertThat(this.owner.shard.counts(this.now).workersOnProbation()).isOne();
+		for (int round = 0; round < 12; round++) {
+			finishAll();
+			run(1);
+		}
+	}
+
 	TaskState stateOf(String job, int index) {
 		return this.owner.shard.tasks(TEAM, new JobId(job)).get(index).state();
 	}
