Evict from VMs whose listed capacity shrinks

Cause: when the list showed a smaller capacity than what was committed on a VM, the commitments stayed beyond it until the tasks ended. Change: a rule evicts until the rest fits, batch tasks first. Conclusion: the VM is over its capacity only until the evicted tasks stopped.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
@@ -70,6 +70,8 @@
 
 	private final LeavingRule leaving;
 
+	private final ShrunkCapacityRule shrunkCapacity;
+
 	private final UnplaceableRule unplaceable;
 
 	private final ReportRule reports;
@@ -110,6 +112,7 @@
 		this.reclaim = new ReclaimRule(this.state, this.queue, this.fairShare, victims, this.evictions, budget,
 				this.placements);
 		this.leaving = new LeavingRule(this.state, this.evictions);
+		this.shrunkCapacity = new ShrunkCapacityRule(this.state, victims, this.evictions);
 		RepeatedFailureRule failures = new RepeatedFailureRule(this.state, this.queue, this.placements, this.probation,
 				this.jobEnds);
 		this.unplaceable = new UnplaceableRule(this.state, this.queue, this.admission, failures);
@@ -355,6 +358,7 @@
 			if (slow) {
 				this.probation.tick(worker, now);
 				this.leaving.tick(worker, step, now);
+				this.shrunkCapacity.tick(worker, step, now);
 				this.opening.refresh(worker, now);
 			}
 		}
--- /dev/null
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShrunkCapacityRule.java
@@ -0,0 +1,68 @@
+package io.lentilstream.tasks.scheduling;
+
+import io.lentilstream.model.MonotonicTime;
+import io.lentilstream.model.Resources;
+import io.lentilstream.tasks.TaskState;
+
+/**
+ * Evicts tasks from a VM whose listed capacity became smaller than what is committed
+ * there, until the rest fits. Tasks that are not urgent go first, then those that cost
+ * least to lose. The bound on evictions does not apply, since the VM is over its capacity
+ * until they stopped.
+ */
+final class ShrunkCapacityRule {
+
+	private final ShardState state;
+
+	private final VictimFinder victims;
+
+	private final EvictionRule evictions;
+
+	ShrunkCapacityRule(ShardState state, VictimFinder victims, EvictionRule evictions) {
+		this.state = state;
+		this.victims = victims;
+		this.evictions = evictions;
+	}
+
+	void tick(WorkerRecord worker, StepBuilder step, MonotonicTime now) {
+		Resources capacity = this.state.ledger.capacity(worker.ledgerIndex);
+		Resources committed = this.state.ledger.committed(worker.ledgerIndex);
+		if (!worker.listed || committed.fitsWithin(capacity) || !this.state.mayCommit(now)) {
+			return;
+		}
+		Resources excess = committed.minus(capacity);
+		for (TaskRecord task : worker.tasks) {
+			if (task.state.isEnded() || task.state == TaskState.CHECKPOINTING || task.state == TaskState.EVICTED) {
+				excess = excess.minus(task.committed);
+			}
+		}
+		while (!excess.fitsWithin(Resources.NONE)) {
+			TaskRecord victim = victim(worker, excess, now);
+			if (victim == null) {
+				return;
+			}
+			excess = excess.minus(victim.committed);
+			this.evictions.evict(victim, this.state.settings.checkpointPatience(), step, now);
+		}
+	}
+
+	private TaskRecord victim(WorkerRecord worker, Resources excess, MonotonicTime now) {
+		TaskRecord cheapest = this.victims.cheapest(worker, (task) -> helps(task, excess), now);
+		if (cheapest != null) {
+			return cheapest;
+		}
+		for (TaskRecord task : worker.tasks) {
+			if (EvictionRule.isPossible(task) && helps(task, excess)) {
+				return task;
+			}
+		}
+		return null;
+	}
+
+	private static boolean helps(TaskRecord task, Resources excess) {
+		return (excess.milliCores() > 0 && task.committed.milliCores() > 0)
+				|| (excess.memoryMegabytes() > 0 && task.committed.memoryMegabytes() > 0)
+				|| (excess.accelerators() > 0 && task.committed.accelerators() > 0);
+	}
+
+}
