Fail jobs only after a VM for them was missing for a while

Cause: the patience for a job that fits on no VM ran from the time when the job began to wait for room, so one short list failed jobs at once. Learned sizes above the hard limit of the team were never placed. Change: the patience runs from the first check in which no VM fits, and learned sizes above the declared one are capped at the hard limit.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/PendingQueue.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/PendingQueue.java
@@ -140,12 +140,9 @@
 		}
 	}
 
-	void block(WorkClass workClass, Resources size, MonotonicTime now) {
+	void block(WorkClass workClass, Resources size) {
 		readyOf(workClass).removeFirst();
 		workClass.status = WorkClass.Status.BLOCKED;
-		if (workClass.blockedSize == null) {
-			workClass.blockedSinceNanos = now.nanos();
-		}
 		workClass.blockedSize = size;
 		this.blocked.computeIfAbsent(new Shape(size, workClass.urgent()), (shape) -> new ArrayList<>()).add(workClass);
 	}
@@ -218,6 +215,7 @@
 		if (workClass.head() == null) {
 			workClass.status = WorkClass.Status.IDLE;
 			workClass.blockedSize = null;
+			workClass.unplaceable = false;
 			return;
 		}
 		workClass.status = WorkClass.Status.READY;
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/StartRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/StartRule.java
@@ -79,7 +79,7 @@
 		WorkerRecord worker = this.decider.choose(group, size, now);
 		if (worker == null) {
 			workClass.failedPass = this.pass;
-			this.queue.block(workClass, size, now);
+			this.queue.block(workClass, size);
 			return;
 		}
 		if (!this.state.ledger.tryCommit(worker.ledgerIndex, size, workClass.urgent())) {
@@ -87,6 +87,7 @@
 		}
 		start(group.takeNext(), worker, workClass.factor(this.state.largestVm), size, step, now);
 		workClass.blockedSize = null;
+		workClass.unplaceable = false;
 		group.waitingSinceNanos = now.nanos();
 		this.queue.rotate(workClass);
 		this.opening.afterPlacement(worker, now);
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/UnplaceableRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/UnplaceableRule.java
@@ -27,13 +27,19 @@
 		long patience = this.state.settings.unplaceableAfter().toNanos();
 		for (WorkClass workClass : this.queue.blockedClasses()) {
 			if (this.admission.fitsSomeVm(workClass.size(this.state.largestVm), workClass.urgent())) {
+				workClass.unplaceable = false;
 				continue;
 			}
 			if (this.admission.fitsSomeVm(workClass.key.declared(), workClass.urgent())) {
 				workClass.declaredOnly = true;
+				workClass.unplaceable = false;
 				continue;
 			}
-			if (now.nanos() - workClass.blockedSinceNanos < patience || !this.state.mayCommit(now)) {
+			if (!workClass.unplaceable) {
+				workClass.unplaceable = true;
+				workClass.unplaceableSinceNanos = now.nanos();
+			}
+			if (now.nanos() - workClass.unplaceableSinceNanos < patience || !this.state.mayCommit(now)) {
 				continue;
 			}
 			TaskGroup group = workClass.head();
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkClass.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkClass.java
@@ -28,7 +28,10 @@
 	/** The room that was searched in vain. */
 	Resources blockedSize;
 
-	long blockedSinceNanos;
+	/** Whether no listed VM could hold a task, as of the last check. */
+	boolean unplaceable;
+
+	long unplaceableSinceNanos;
 
 	/** The placement pass in which the class fitted nowhere. */
 	long failedPass;
@@ -70,8 +73,9 @@
 		if (this.declaredOnly || learned == SizeFactor.DECLARED) {
 			return learned;
 		}
-		int cores = cap(learned.coreSixteenths(), this.key.declared().milliCores(), largest.milliCores());
-		int memory = cap(learned.memorySixteenths(), this.key.declared().memoryMegabytes(), largest.memoryMegabytes());
+		Resources bound = bound(largest);
+		int cores = cap(learned.coreSixteenths(), this.key.declared().milliCores(), bound.milliCores());
+		int memory = cap(learned.memorySixteenths(), this.key.declared().memoryMegabytes(), bound.memoryMegabytes());
 		return new SizeFactor(cores, memory);
 	}
 
@@ -80,9 +84,9 @@
 		if (this.declaredOnly) {
 			return this.key.declared();
 		}
-		if (learned != this.sizeFactor || !largest.equals(this.limit)) {
+		if (learned != this.sizeFactor || !bound(largest).equals(this.limit)) {
 			this.sizeFactor = learned;
-			this.limit = largest;
+			this.limit = bound(largest);
 			this.size = factor(largest).of(this.key.declared());
 		}
 		return this.size;
@@ -116,6 +120,16 @@
 		return sum;
 	}
 
+	// A learned size above the hard limit of the team would never be placed.
+	private Resources bound(Resources largest) {
+		Resources hardLimit = this.team.hardLimit;
+		if (hardLimit == null) {
+			return largest;
+		}
+		return new Resources(Math.min(largest.milliCores(), hardLimit.milliCores()),
+				Math.min(largest.memoryMegabytes(), hardLimit.memoryMegabytes()), largest.accelerators());
+	}
+
 	private int cap(int learned, long declared, long largest) {
 		int factor = urgent() ? Math.max(SizeFactor.ONE, learned) : learned;
 		if (factor > SizeFactor.ONE && declared > 0) {
