Wait for an evicted task before evicting for overload again

Cause: with memory short, each list of tasks evicted one more task, although the reports still contained the use of the first one. Change: nothing more is evicted until the evicted tasks of the VM stopped. Conclusion: one overload costs one eviction per stop.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/OverloadRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/OverloadRule.java
@@ -2,6 +2,7 @@
 
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
+import io.lentilstream.tasks.TaskState;
 import io.lentilstream.tasks.WorkerCommand;
 
 /**
@@ -65,7 +66,7 @@
 		worker.overloadedReports++;
 		boolean throttled = coresHigh && throttle(worker, step);
 		if (!throttled && (memoryHigh || worker.overloadedReports >= REPORTS_BEFORE_EVICTION)
-				&& this.state.mayCommit(now)) {
+				&& !isBeingRelieved(worker) && this.state.mayCommit(now)) {
 			TaskRecord victim = this.victims.cheapest(worker, (task) -> true, now);
 			if (victim != null && this.budget.tryTake(1, now)) {
 				worker.overloadedReports = 0;
@@ -98,6 +99,16 @@
 		return true;
 	}
 
+	// Until the evicted task has stopped, reports still contain its use.
+	private static boolean isBeingRelieved(WorkerRecord worker) {
+		for (TaskRecord task : worker.tasks) {
+			if (task.state == TaskState.CHECKPOINTING || task.state == TaskState.EVICTED) {
+				return true;
+			}
+		}
+		return false;
+	}
+
 	private void lift(WorkerRecord worker, StepBuilder step) {
 		for (TaskRecord task : worker.tasks) {
 			if (task.throttle < TO_SIZE && EvictionRule.isPossible(task)) {
--- a/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
@@ -7,6 +7,7 @@
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.Urgency;
+import io.lentilstream.platform.TaskReport;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -61,6 +62,26 @@
 		assertThat(this.world.stateOf("deferrable", 0)).isEqualTo(TaskState.RUNNING);
 	}
 
+	@Test
+	void evictsNothingMoreUntilTheFirstTaskHasStopped() {
+		this.world.run(1);
+		submit("first", Urgency.BATCH);
+		submit("second", Urgency.BATCH);
+		submit("gone", Urgency.BATCH);
+		this.world.run(1);
+		this.world.measure("first", new Resources(1000, 4100, 0), 1);
+		this.world.measure("second", new Resources(1000, 4100, 0), 1);
+		this.worker.checkpointsHang = true;
+		this.world.run(12);
+		assertThat(this.world.owner.shard.counts(this.world.now).evictions()).isOne();
+		// A report other than as the outcome of a command makes the worker list its
+		// tasks.
+		this.worker.runs.get(this.world.id(3, 0)).state = TaskReport.State.STOPPED;
+		this.world.report(this.worker);
+		this.world.run(3);
+		assertThat(this.world.owner.shard.counts(this.world.now).evictions()).isOne();
+	}
+
 	@Test
 	void liftsThrottlesWhenTheLoadIsLow() {
 		this.world.run(1);
