Compute fair shares from the listed VMs

Cause: VMs that are no longer listed still counted for the capacity of the shard, so all shares shrank as VMs were replaced, until reclaim never began. Change: the ledger sums the capacity of listed VMs only. Conclusion: reclaim depends on the present VMs only.

--- a/tasks/src/main/java/io/lentilstream/tasks/capacity/CommitmentLedger.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/capacity/CommitmentLedger.java
@@ -48,11 +48,26 @@
 	 */
 	public synchronized void setCapacity(int vm, Resources capacity) {
 		Account account = this.accounts.get(vm);
-		this.total = this.total.minus(account.capacity).plus(capacity);
+		if (account.listed) {
+			this.total = this.total.minus(account.capacity).plus(capacity);
+		}
 		account.capacity = capacity;
 		refresh(vm);
 	}
 
+	/**
+	 * Sets whether a VM counts for the capacity of all VMs.
+	 * @param vm the index of the VM
+	 * @param listed whether the VM is listed
+	 */
+	public synchronized void setListed(int vm, boolean listed) {
+		Account account = this.accounts.get(vm);
+		if (account.listed != listed) {
+			account.listed = listed;
+			this.total = listed ? this.total.plus(account.capacity) : this.total.minus(account.capacity);
+		}
+	}
+
 	/**
 	 * Opens or closes a VM for new commitments.
 	 * @param vm the index of the VM
@@ -212,7 +227,7 @@
 	}
 
 	/**
-	 * Returns the capacity of all VMs.
+	 * Returns the capacity of all listed VMs.
 	 * @return the capacity
 	 */
 	public synchronized Resources totalCapacity() {
@@ -282,6 +297,8 @@
 
 		private Resources other = Resources.NONE;
 
+		private boolean listed;
+
 		private boolean open;
 
 		private boolean urgentOnly;
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
@@ -166,6 +166,7 @@
 		for (WorkerRecord worker : this.state.workers) {
 			if (worker.listed && !listed.contains(worker)) {
 				worker.listed = false;
+				this.state.ledger.setListed(worker.ledgerIndex, false);
 				this.opening.refresh(worker, now);
 			}
 		}
@@ -441,6 +442,7 @@
 		}
 		worker.description = description;
 		worker.listed = true;
+		this.state.ledger.setListed(worker.ledgerIndex, true);
 		this.state.ledger.setCapacity(worker.ledgerIndex, description.capacity());
 		this.opening.refresh(worker, now);
 		return worker;
--- a/tasks/src/test/java/io/lentilstream/tasks/ReclaimTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/ReclaimTests.java
@@ -81,6 +81,19 @@
 		assertThat(world.owner.shard.counts(world.now).evictions()).isEqualTo(6);
 	}
 
+	@Test
+	void countsOnlyListedVmsForTheFairShare() {
+		ShardWorld world = new ShardWorld(8, TaskDefaults.settings());
+		world.run(1);
+		world.workers.keySet().removeIf((vm) -> !List.of("vm-0", "vm-1").contains(vm));
+		world.list();
+		world.submit(job(BORROWER, "borrowed", Urgency.BATCH, 1, 14));
+		world.run(10);
+		world.submit(job(OWNER, "own", Urgency.BATCH, 1, 1));
+		world.run(10);
+		assertThat(world.vmsOf(OWNER, "own")).hasSize(1);
+	}
+
 	private static JobSubmission job(TeamId team, String key, Urgency urgency, int cores, int count) {
 		return JobSubmission.ofEqualTasks(team, new JobId(key), urgency, ShardWorld.PROGRAM,
 				new Resources(cores * 1000, 512, 0), count);
