Send a throttle again when the command was lost

Cause: the shard took a throttle for carried out whatever the worker answered, so a lost lift left a task at half of its size until it ended. Change: a throttle that was not carried out is sent again with the next list of tasks. Fake workers can lose throttle commands. Conclusion: throttles reach the worker once it answers again.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/AnswerRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/AnswerRule.java
@@ -78,6 +78,12 @@
 		else if (command instanceof WorkerCommand.Stop stop) {
 			stop(worker, stop, outcome, step, now);
 		}
+		else if (command instanceof WorkerCommand.Throttle throttle && !(outcome instanceof WorkerOutcome.Done)) {
+			TaskRecord task = this.state.find(throttle.task());
+			if (task != null && task.worker == worker && throttle.id() > task.attemptCommand) {
+				task.throttleLost = true;
+			}
+		}
 	}
 
 	private void start(WorkerRecord worker, WorkerCommand.Start command, WorkerOutcome outcome, StepBuilder step,
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/OverloadRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/OverloadRule.java
@@ -51,6 +51,7 @@
 	 * @param now the current time
 	 */
 	void afterReports(WorkerRecord worker, double urgentSlowdown, StepBuilder step, MonotonicTime now) {
+		sendLostAgain(worker, step);
 		Resources capacity = this.state.ledger.capacity(worker.ledgerIndex);
 		double coreLoad = (double) worker.usedMilliCores / Math.max(1, capacity.milliCores());
 		double memoryLoad = (double) worker.usedMemory / Math.max(1, capacity.memoryMegabytes());
@@ -109,6 +110,16 @@
 		return false;
 	}
 
+	// A lost lift would leave the task slow until it ends.
+	private void sendLostAgain(WorkerRecord worker, StepBuilder step) {
+		for (TaskRecord task : worker.tasks) {
+			if (task.throttleLost && EvictionRule.isPossible(task)) {
+				task.throttleLost = false;
+				send(task, task.throttle, step);
+			}
+		}
+	}
+
 	private void lift(WorkerRecord worker, StepBuilder step) {
 		for (TaskRecord task : worker.tasks) {
 			if (task.throttle < TO_SIZE && EvictionRule.isPossible(task)) {
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/Placements.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/Placements.java
@@ -150,6 +150,7 @@
 		task.committed = Resources.NONE;
 		task.command = 0;
 		task.throttle = TaskRecord.NOT_THROTTLED;
+		task.throttleLost = false;
 		this.freed.add(worker);
 		this.queue.unlimit(workClass.team);
 	}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/TaskRecord.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/TaskRecord.java
@@ -73,6 +73,9 @@
 
 	float throttle = NOT_THROTTLED;
 
+	/** Whether a throttle command was not carried out and must be sent again. */
+	boolean throttleLost;
+
 	TaskRecord(TaskGroup group, int index) {
 		this.group = group;
 		this.index = index;
--- a/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
@@ -43,6 +43,9 @@
 	/** Programs that fail here, with the reason; the key "*" stands for all. */
 	final Map<String, String> failures = new LinkedHashMap<>();
 
+	/** Whether throttle commands are lost. */
+	boolean losesThrottles;
+
 	/** The throttled tasks, with their shares. */
 	final Map<TaskId, Double> throttles = new LinkedHashMap<>();
 
@@ -86,6 +89,9 @@
 			return done(stop.tasks());
 		}
 		WorkerCommand.Throttle throttle = (WorkerCommand.Throttle) command;
+		if (this.losesThrottles) {
+			return new WorkerOutcome.NoReply("lost");
+		}
 		this.throttles.put(throttle.task(), throttle.share());
 		return done(List.of(throttle.task()));
 	}
--- a/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
@@ -95,6 +95,22 @@
 		assertThat(this.worker.throttles.values()).containsExactly(1.0);
 	}
 
+	@Test
+	void liftsAThrottleAgainWhenTheCommandWasLost() {
+		this.world.run(1);
+		submit("first", Urgency.BATCH);
+		this.world.run(1);
+		this.world.measure("first", new Resources(9000, 1000, 0), 1);
+		this.world.run(25);
+		this.world.measure("first", new Resources(500, 1000, 0), 1);
+		this.worker.losesThrottles = true;
+		this.world.run(11);
+		assertThat(this.worker.throttles.values()).containsExactly(0.5);
+		this.worker.losesThrottles = false;
+		this.world.run(15);
+		assertThat(this.worker.throttles.values()).containsExactly(1.0);
+	}
+
 	private void submit(String key, Urgency urgency) {
 		this.world.submit(JobSubmission.ofEqualTasks(ShardWorld.TEAM, new JobId(key), urgency, key,
 				new Resources(1000, 1000, 0), 1));
