Make tests fail without the rack spread and the cost of deferrable work

Cause: without the rule for racks, 2 of 4 cases still passed by the order of the search; without the cost of deferrable work, all overload tests passed. Change: the search meets three workers of one rack first; an older batch task competes with a younger deferrable one. Conclusion: both guards have tests that are meant for them.

--- a/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
@@ -62,6 +62,20 @@
 		assertThat(this.world.stateOf("deferrable", 0)).isEqualTo(TaskState.RUNNING);
 	}
 
+	@Test
+	void evictsABatchTaskBeforeAYoungerDeferrableOne() {
+		this.world.run(1);
+		submit("batch", Urgency.BATCH);
+		this.world.run(60);
+		submit("deferrable", Urgency.DEFERRABLE);
+		this.world.run(1);
+		this.world.measure("batch", new Resources(1000, 4100, 0), 1);
+		this.world.measure("deferrable", new Resources(1000, 4100, 0), 1);
+		this.world.run(11);
+		assertThat(this.world.stateOf("batch", 0)).isNotEqualTo(TaskState.RUNNING);
+		assertThat(this.world.stateOf("deferrable", 0)).isEqualTo(TaskState.RUNNING);
+	}
+
 	@Test
 	void evictsNothingMoreUntilTheFirstTaskHasStopped() {
 		this.world.run(1);
--- a/tasks/src/test/java/io/lentilstream/tasks/RackSpreadTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/RackSpreadTests.java
@@ -1,5 +1,6 @@
 package io.lentilstream.tasks;
 
+import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
 import java.util.stream.Collectors;
@@ -19,16 +20,19 @@
 	@ParameterizedTest
 	@CsvSource({ "URGENT, false", "BATCH, false", "URGENT, true", "BATCH, true" })
 	void spreadsTheTasksOfAJobOverRacks(Urgency urgency, boolean takeover) {
-		// Racks have 3, 2 and 2 workers.
-		ShardWorld world = new ShardWorld(7, TaskDefaults.settings());
+		// Racks 0, 1 and 2 keep 3, 1 and 1 workers; the search meets those of rack 0
+		// first.
+		ShardWorld world = new ShardWorld(9, TaskDefaults.settings());
+		world.leaving.addAll(List.of("vm-1", "vm-2", "vm-4", "vm-5"));
+		world.list();
 		world.run(1);
-		world.submit(ShardWorld.job("job", urgency, 4, 3));
+		world.submit(ShardWorld.job("job", urgency, 2, 3));
 		world.run(1);
 		if (takeover) {
 			world.takeOver(true, false);
 			world.run(2);
 		}
-		world.submit(ShardWorld.job("other", urgency, 4, 3));
+		world.submit(ShardWorld.job("other", urgency, 2, 3));
 		world.run(1);
 		assertThat(perRack(world, "job")).containsOnly(Map.entry(0, 1L), Map.entry(1, 1L), Map.entry(2, 1L));
 		assertThat(perRack(world, "other")).containsOnly(Map.entry(0, 1L), Map.entry(1, 1L), Map.entry(2, 1L));
