--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/OverloadRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/OverloadRule.java
@@ -2,6 +2,7 @@
 
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
+import io.lentilstream.tasks.TaskState;
 import io.lentilstream.tasks.WorkerCommand;
 
 /**
@@ -50,6 +51,7 @@
 	 * @param now the current time
 	 */
 	void afterReports(WorkerRecord worker, double urgentSlowdown, StepBuilder step, MonotonicTime now) {
+		sendLostAgain(worker, step);
 		Resources capacity = this.state.ledger.capacity(worker.ledgerIndex);
 		double coreLoad = (double) worker.usedMilliCores / Math.max(1, capacity.milliCores());
 		double memoryLoad = (double) worker.usedMemory / Math.max(1, capacity.memoryMegabytes());
@@ -65,7 +67,7 @@
 		worker.overloadedReports++;
 		boolean throttled = coresHigh && throttle(worker, step);
 		if (!throttled && (memoryHigh || worker.overloadedReports >= REPORTS_BEFORE_EVICTION)
-				&& this.state.mayCommit(now)) {
+				&& !isBeingRelieved(worker) && this.state.mayCommit(now)) {
 			TaskRecord victim = this.victims.cheapest(worker, (task) -> true, now);
 			if (victim != null && this.budget.tryTake(1, now)) {
 				worker.overloadedReports = 0;
@@ -98,6 +100,26 @@
 		return true;
 	}
 
+	// Until the evicted task has stopped, reports still contain its use.
+	private static boolean isBeingRelieved(WorkerRecord worker) {
+		for (TaskRecord task : worker.tasks) {
+			if (task.state == TaskState.CHECKPOINTING || task.state == TaskState.EVICTED) {
+				return true;
+			}
+		}
+		return false;
+	}
+
+	// A lost lift would leave the task slow until it ends.
+	private void sendLostAgain(WorkerRecord worker, StepBuilder step) {
+		for (TaskRecord task : worker.tasks) {
+			if (task.throttleLost && EvictionRule.isPossible(task)) {
+				task.throttleLost = false;
+				send(task, task.throttle, step);
+			}
+		}
+	}
+
 	private void lift(WorkerRecord worker, StepBuilder step) {
 		for (TaskRecord task : worker.tasks) {
 			if (task.throttle < TO_SIZE && EvictionRule.isPossible(task)) {
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
@@ -70,6 +70,8 @@
 
 	private final LeavingRule leaving;
 
+	private final ShrunkCapacityRule shrunkCapacity;
+
 	private final UnplaceableRule unplaceable;
 
 	private final ReportRule reports;
@@ -107,8 +109,10 @@
 		VictimFinder victims = new VictimFinder(this.state, this.fairShare);
 		EvictionBudget budget = new EvictionBudget(settings.evictionsPerMinute(), takeover);
 		this.urgentRoom = new UrgentRoomRule(this.state, this.queue, victims, this.evictions);
-		this.reclaim = new ReclaimRule(this.state, this.queue, this.fairShare, victims, this.evictions, budget);
+		this.reclaim = new ReclaimRule(this.state, this.queue, this.fairShare, victims, this.evictions, budget,
+				this.placements);
 		this.leaving = new LeavingRule(this.state, this.evictions);
+		this.shrunkCapacity = new ShrunkCapacityRule(this.state, victims, this.evictions);
 		RepeatedFailureRule failures = new RepeatedFailureRule(this.state, this.queue, this.placements, this.probation,
 				this.jobEnds);
 		this.unplaceable = new UnplaceableRule(this.state, this.queue, this.admission, failures);
@@ -162,6 +166,7 @@
 		for (WorkerRecord worker : this.state.workers) {
 			if (worker.listed && !listed.contains(worker)) {
 				worker.listed = false;
+				this.state.ledger.setListed(worker.ledgerIndex, false);
 				this.opening.refresh(worker, now);
 			}
 		}
@@ -354,9 +359,11 @@
 			if (slow) {
 				this.probation.tick(worker, now);
 				this.leaving.tick(worker, step, now);
+				this.shrunkCapacity.tick(worker, step, now);
 				this.opening.refresh(worker, now);
 			}
 		}
+		this.reclaim.reopen();
 		this.starts.apply(step, now);
 		this.urgentRoom.tick(step, now);
 		if (slow) {
@@ -435,6 +442,7 @@
 		}
 		worker.description = description;
 		worker.listed = true;
+		this.state.ledger.setListed(worker.ledgerIndex, true);
 		this.state.ledger.setCapacity(worker.ledgerIndex, description.capacity());
 		this.opening.refresh(worker, now);
 		return worker;
