--- a/entry/src/main/java/io/lentilstream/entry/http/EntryServer.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/EntryServer.java
@@ -1,5 +1,9 @@
 package io.lentilstream.entry.http;
 
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
 import java.util.Locale;
 import java.util.function.Consumer;
 
@@ -55,12 +59,25 @@
 
 	/**
 	 * Starts to listen.
+	 * @throws UncheckedIOException if the port is in use
 	 */
 	public void start() {
+		requireFree(this.options.getHost(), this.options.getPort());
 		this.server.setOptions(this.options);
 		this.server.start(this.app);
 	}
 
+	// Jooby binds with SO_REUSEPORT, so a second daemon on a port in use would start and
+	// take part of the connections.
+	private static void requireFree(String host, int port) {
+		try (ServerSocket probe = new ServerSocket()) {
+			probe.bind(new InetSocketAddress(host, port));
+		}
+		catch (IOException ex) {
+			throw new UncheckedIOException("cannot listen on " + host + ":" + port, ex);
+		}
+	}
+
 	// The server decodes forms itself and does not keep their bytes, so passing them on
 	// would lose the body.
 	private static void refuseForm(Context context) {
--- a/entry/src/test/java/io/lentilstream/entry/EntryDaemonTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/EntryDaemonTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.time.Duration;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -33,6 +34,7 @@
 import io.lentilstream.standin.Topology;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 /**
  * Guards against a daemon that answers bad input or missing access with anything but a
@@ -63,17 +65,7 @@
 				MonotonicClock.system());
 		platform.start();
 		int port = freePort();
-		daemon = new EntryDaemon(
-				new EntrySettings(new VmId("vm"), ZONE, "region", new HostPort("127.0.0.1", port),
-						new HostPort("127.0.0.1", 0), List.of(),
-						new EntrySettings.Platform(platform.baseUrl(), Duration.ofSeconds(1), Duration.ofSeconds(2),
-								Duration.ofMillis(100)),
-						new Secret("peer-key-of-the-test"), new Secret(ADMINISTRATOR),
-						new EntrySettings.Limits(10_000, 1_000_000, 16_000, 1_000_000, 1_000, 100, 1_000, 100),
-						new EntrySettings.Leases(Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(30),
-								Duration.ofSeconds(2), Duration.ofMinutes(10)),
-						new EntrySettings.Shards(2, 2, Duration.ofMillis(5)), LogFormat.TEXT),
-				EntryOptions.of(new java.security.SecureRandom(), BROKEN::add));
+		daemon = new EntryDaemon(settings(port), EntryOptions.of(new java.security.SecureRandom(), BROKEN::add));
 		daemon.start();
 		url = "http://127.0.0.1:" + port;
 		Awaitility.await().atMost(30, TimeUnit.SECONDS).until(daemon::isReady);
@@ -88,6 +80,18 @@
 		});
 	}
 
+	private static EntrySettings settings(int port) {
+		return new EntrySettings(new VmId("vm"), ZONE, "region", new HostPort("127.0.0.1", port),
+				new HostPort("127.0.0.1", 0), List.of(),
+				new EntrySettings.Platform(platform.baseUrl(), Duration.ofSeconds(1), Duration.ofSeconds(2),
+						Duration.ofMillis(100)),
+				new Secret("peer-key-of-the-test"), new Secret(ADMINISTRATOR),
+				new EntrySettings.Limits(10_000, 1_000_000, 16_000, 1_000_000, 1_000, 100, 1_000, 100),
+				new EntrySettings.Leases(Duration.ofSeconds(10), Duration.ofSeconds(2), Duration.ofSeconds(30),
+						Duration.ofSeconds(2), Duration.ofMinutes(10)),
+				new EntrySettings.Shards(2, 2, Duration.ofMillis(5)), LogFormat.TEXT);
+	}
+
 	@AfterAll
 	static void stop() {
 		daemon.close();
@@ -178,6 +182,14 @@
 			.contains("\"value\":\"100\"");
 	}
 
+	@Test
+	void refusesToShareAPortThatIsInUse() {
+		EntrySettings settings = settings(Integer.parseInt(url.substring(url.lastIndexOf(':') + 1)));
+		try (EntryDaemon second = new EntryDaemon(settings, EntryOptions.of(new Random(), BROKEN::add))) {
+			assertThatThrownBy(second::start).hasMessageContaining("cannot listen");
+		}
+	}
+
 	@Test
 	void showsMetricsAndHealthWithoutAKey() throws IOException {
 		assertThat(call("GET", "/health", "", "", "").status()).isEqualTo(200);
