--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -433,7 +433,7 @@
 	}
 
 	/**
-	 * Returns when a graceful shutdown ended, whoever began it.
+	 * Returns the end of the graceful shutdown, also of one that an operator began.
 	 * @return completes when the process may end
 	 */
 	public CompletableFuture<Void> drained() {
--- a/entry/src/main/java/io/lentilstream/entry/work/OwnerRouter.java
+++ b/entry/src/main/java/io/lentilstream/entry/work/OwnerRouter.java
@@ -91,7 +91,7 @@
 
 	/**
 	 * Answers a call that a peer forwarded. It is not forwarded again, so two peers with
-	 * old views cannot pass a call to and fro.
+	 * old views cannot pass a call back and forth.
 	 * @param call the call
 	 * @return what the caller is told
 	 */
--- a/entry/src/test/java/io/lentilstream/entry/shards/ShardMapTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/shards/ShardMapTests.java
@@ -21,7 +21,7 @@
 
 	@ParameterizedTest
 	@CsvSource({ "worker-0, 7", "worker-1, 2", "worker-2, 5", "hills-a-worker-3, 2", "x, 0" })
-	void mapsATextToTheSameIndexForEver(String text, int index) {
+	void mapsATextToTheSameIndexInEveryVersion(String text, int index) {
 		assertThat(ShardMap.index(text, 8)).isEqualTo(index);
 	}
 
--- a/entry/src/test/java/io/lentilstream/entry/work/OwnerRouterTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/work/OwnerRouterTests.java
@@ -18,7 +18,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 /**
- * Guards against a call that is passed to and fro, or refused falsely.
+ * Guards against a call that is passed back and forth, or refused falsely.
  */
 class OwnerRouterTests {
 
