Send answers that another connection brought about from outside the event loop

Cause: the lost answers of watches. On an event loop, Jooby writes an answer without a flush and flushes at the end of a read of its own connection. A watch on the same loop as the write that ended it was therefore never answered; an entry daemon could hold back a refusal that another request caused. Ruled out: the client, whose call had ended. The new contract test fails without the change.

--- a/standin/src/main/java/io/lentilstream/standin/ReplyWriter.java
+++ b/standin/src/main/java/io/lentilstream/standin/ReplyWriter.java
@@ -3,6 +3,7 @@
 import java.lang.reflect.Field;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
+import java.util.concurrent.ForkJoinPool;
 
 import io.jooby.Context;
 import io.jooby.MediaType;
@@ -10,6 +11,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.util.concurrent.FastThreadLocalThread;
 
 /**
  * Writes answers to connections, also broken ones. Jooby offers no way to close a
@@ -48,6 +50,14 @@
 		context.setResponseCode(reply.status());
 		reply.headers().forEach(context::setResponseHeader);
 		context.setResponseType(MediaType.valueOf(reply.contentType()));
+		if (Thread.currentThread() instanceof FastThreadLocalThread) {
+			// On an event loop, Jooby flushes an answer only at the end of a read of its
+			// own
+			// connection; the answer of a waiting watch comes from a write on another
+			// one.
+			ForkJoinPool.commonPool().execute(() -> context.send(reply.body()));
+			return;
+		}
 		context.send(reply.body());
 	}
 
--- a/standin/src/test/java/io/lentilstream/standin/StoreContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/StoreContractTests.java
@@ -1,6 +1,8 @@
 package io.lentilstream.standin;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BiFunction;
@@ -275,4 +277,20 @@
 		return watch;
 	}
 
+	// With few event loops, some of these watches wait on the loop that handles the
+	// write.
+	@Test
+	void answersEveryWaitingWatchWhateverConnectionTheWriteComesFrom() {
+		StoreClient client = this.fixture.store("watcher");
+		List<CompletableFuture<WatchOutcome>> watches = new ArrayList<>();
+		for (int i = 0; i < 16; i++) {
+			watches.add(client.watch(new StoreKey("/watched"), 0, Duration.ofHours(1)));
+		}
+		Awaitility.await().until(() -> this.fixture.platform.waitingWatches() == 16);
+		StandinFixture
+			.get(client.write(StoreWrite.put(new StoreKey("/watched/a"), new byte[] { 1 }, StoreWrite.ABSENT)));
+		assertThat(watches)
+			.allSatisfy((watch) -> assertThat(StandinFixture.get(watch)).isInstanceOf(WatchOutcome.Changes.class));
+	}
+
 }
