--- a/entry/src/main/java/io/lentilstream/entry/http/HttpAnswers.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/HttpAnswers.java
@@ -1,11 +1,8 @@
 package io.lentilstream.entry.http;
 
-import java.util.concurrent.ForkJoinPool;
-
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.jooby.Context;
-import io.netty.util.concurrent.FastThreadLocalThread;
 
 import io.lentilstream.model.RequestOutcome;
 
@@ -56,14 +53,6 @@
 	static Context send(Context context, int status, String contentType, byte[] body) {
 		context.setResponseCode(status);
 		context.setResponseType(contentType);
-		if (Thread.currentThread() instanceof FastThreadLocalThread) {
-			// On an event loop, Jooby flushes an answer only at the end of a read of its
-			// own
-			// connection. An answer that the request of another connection brought about
-			// would wait there, so it is sent from another thread.
-			ForkJoinPool.commonPool().execute(() -> context.send(body));
-			return context;
-		}
 		return context.send(body);
 	}
 
