--- a/settings/src/main/java/io/lentilstream/settings/schema/EditDistance.java
+++ b/settings/src/main/java/io/lentilstream/settings/schema/EditDistance.java
@@ -13,7 +13,7 @@
 
 	static Optional<String> nearest(String name, Collection<String> known) {
 		String best = null;
-		// A third of the letters may differ; anything further is another word.
+		// A name that differs in more than a third of its characters is no likely typo.
 		int limit = Math.max(2, name.length() / 3) + 1;
 		for (String candidate : known) {
 			int distance = between(name, candidate);
