--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/http/WorkRoutes.java
@@ -0,0 +1,103 @@
+package io.lentilstream.entry.http;
+
+import java.util.Optional;
+
+import io.jooby.Context;
+import io.jooby.Jooby;
+
+import io.lentilstream.entry.records.WorkKindDirectory;
+import io.lentilstream.entry.work.OwnerCall;
+import io.lentilstream.entry.work.OwnerCallHandler;
+import io.lentilstream.model.IdempotencyKey;
+import io.lentilstream.model.Identifiers;
+import io.lentilstream.model.KindName;
+import io.lentilstream.model.TeamId;
+
+/**
+ * Serves deferrable requests under {@code /work} and jobs under {@code /jobs}.
+ */
+public final class WorkRoutes {
+
+	private static final byte[] NO_BODY = new byte[0];
+
+	private final OwnerCallHandler owners;
+
+	private final WorkKindDirectory kinds;
+
+	/**
+	 * Creates the routes.
+	 * @param owners passes calls to the owner of their shard
+	 * @param kinds finds kinds in the settings in force
+	 */
+	public WorkRoutes(OwnerCallHandler owners, WorkKindDirectory kinds) {
+		this.owners = owners;
+		this.kinds = kinds;
+	}
+
+	/**
+	 * Adds the routes to the application.
+	 * @param app the application
+	 */
+	public void install(Jooby app) {
+		app.post("/work/{team}/{kind}", this::offer);
+		app.get("/work/{team}/{kind}/{key}", this::collect);
+		app.post("/jobs/{team}", (context) -> job(context, OwnerCall.Operation.SUBMIT_JOB));
+		app.get("/jobs/{team}/{key}", (context) -> job(context, OwnerCall.Operation.SHOW_JOB));
+		app.delete("/jobs/{team}/{key}", (context) -> job(context, OwnerCall.Operation.CANCEL_JOB));
+	}
+
+	private Object offer(Context context) {
+		Optional<IdempotencyKey> key;
+		try {
+			key = CallerHeaders.key(context);
+		}
+		catch (BadRequestException ex) {
+			return HttpAnswers.send(context, ProblemDetails.badRequest(ex.getMessage()));
+		}
+		if (key.isEmpty()) {
+			return HttpAnswers.send(context, ProblemDetails.badRequest(HttpMessages.MISSING_KEY));
+		}
+		return callForKind(context, OwnerCall.Operation.OFFER, key.get(), context.body().bytes());
+	}
+
+	private Object collect(Context context) {
+		String key = context.path("key").value();
+		if (!Identifiers.isValid(key)) {
+			return HttpAnswers.send(context, ProblemDetails.notFound(HttpMessages.UNKNOWN_KEY.formatted(key)));
+		}
+		return callForKind(context, OwnerCall.Operation.COLLECT, new IdempotencyKey(key), NO_BODY);
+	}
+
+	private Object callForKind(Context context, OwnerCall.Operation operation, IdempotencyKey key, byte[] body) {
+		String team = context.path("team").value();
+		String kind = context.path("kind").value();
+		if (!Identifiers.isValid(team) || !Identifiers.isValid(kind)
+				|| this.kinds.find(new TeamId(team), new KindName(kind)).isEmpty()) {
+			return HttpAnswers.send(context,
+					ProblemDetails.notFound(HttpMessages.UNKNOWN_KIND.formatted(team, kind)));
+		}
+		return call(context,
+				new OwnerCall(operation, new TeamId(team), Optional.of(new KindName(kind)), key, body));
+	}
+
+	private Object job(Context context, OwnerCall.Operation operation) {
+		String team = context.path("team").value();
+		boolean submits = operation == OwnerCall.Operation.SUBMIT_JOB;
+		String key = submits ? context.header(CallerHeaders.IDEMPOTENCY_KEY).value("") : context.path("key").value();
+		if (!Identifiers.isValid(key)) {
+			return HttpAnswers.send(context, ProblemDetails.badRequest(HttpMessages.MISSING_KEY));
+		}
+		if (!Identifiers.isValid(team)) {
+			return HttpAnswers.send(context, ProblemDetails.notFound(HttpMessages.NO_ROUTE));
+		}
+		byte[] body = submits ? context.body().bytes() : NO_BODY;
+		return call(context,
+				new OwnerCall(operation, new TeamId(team), Optional.empty(), new IdempotencyKey(key), body));
+	}
+
+	private Object call(Context context, OwnerCall call) {
+		this.owners.handle(call).thenAccept((outcome) -> HttpAnswers.send(context, outcome));
+		return context;
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/work/JobDefaults.java
@@ -0,0 +1,22 @@
+package io.lentilstream.entry.work;
+
+import io.lentilstream.model.KindName;
+import io.lentilstream.model.Resources;
+import io.lentilstream.model.TeamId;
+
+/**
+ * Finds the size of tasks that state none.
+ */
+@FunctionalInterface
+public interface JobDefaults {
+
+	/**
+	 * Returns the default size of a kind.
+	 * @param team the team
+	 * @param kind the kind
+	 * @return the size
+	 * @throws IllegalArgumentException if the team has no such kind
+	 */
+	Resources sizeOf(TeamId team, KindName kind);
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/work/OwnerRouter.java
@@ -0,0 +1,122 @@
+package io.lentilstream.entry.work;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
+
+import io.lentilstream.entry.peers.PeerRequestForwarder;
+import io.lentilstream.entry.requests.ForwardOutcome;
+import io.lentilstream.entry.requests.RequestIds;
+import io.lentilstream.model.NotRunReason;
+import io.lentilstream.model.RequestId;
+import io.lentilstream.model.RequestOutcome;
+import io.lentilstream.model.ShardId;
+import io.lentilstream.model.Urgency;
+import io.lentilstream.model.VmId;
+import io.lentilstream.wire.PeerMessage;
+
+/**
+ * Passes a call to the owner of its shard: this entry VM or the peer that reported the
+ * shard.
+ */
+public final class OwnerRouter implements OwnerCallHandler {
+
+	private static final long TIMEOUT_MILLIS = 10_000;
+
+	private static final long RETRY_AFTER_MILLIS = 1_000;
+
+	private final Function<OwnerCall, ShardId> shardOf;
+
+	private final Function<ShardId, Optional<OwnerCallHandler>> local;
+
+	private final Function<ShardId, Optional<VmId>> ownerOf;
+
+	private final PeerRequestForwarder forwarder;
+
+	private final RequestIds ids;
+
+	/**
+	 * Creates a router.
+	 * @param shardOf maps a call to its shard
+	 * @param local finds the shard if this entry VM owns it
+	 * @param ownerOf finds the peer that owns a shard
+	 * @param forwarder sends calls to peers
+	 * @param ids numbers forwarded calls
+	 */
+	public OwnerRouter(Function<OwnerCall, ShardId> shardOf, Function<ShardId, Optional<OwnerCallHandler>> local,
+			Function<ShardId, Optional<VmId>> ownerOf, PeerRequestForwarder forwarder, RequestIds ids) {
+		this.shardOf = shardOf;
+		this.local = local;
+		this.ownerOf = ownerOf;
+		this.forwarder = forwarder;
+		this.ids = ids;
+	}
+
+	@Override
+	public CompletableFuture<RequestOutcome> handle(OwnerCall call) {
+		ShardId shard = this.shardOf.apply(call);
+		Optional<OwnerCallHandler> owner = this.local.apply(shard);
+		if (owner.isPresent()) {
+			return owner.get().handle(call);
+		}
+		Optional<VmId> peer = this.ownerOf.apply(shard);
+		if (peer.isEmpty()) {
+			return CompletableFuture.completedFuture(ownerUnavailable());
+		}
+		return forward(peer.get(), call);
+	}
+
+	/**
+	 * Answers a call that a peer forwarded. It is not forwarded again, so two peers with
+	 * old views cannot pass a call to and fro.
+	 * @param call the call
+	 * @return what the caller is told
+	 */
+	public CompletableFuture<RequestOutcome> handleForwarded(OwnerCall call) {
+		return this.local.apply(this.shardOf.apply(call))
+			.map((owner) -> owner.handle(call))
+			.orElseGet(() -> CompletableFuture.completedFuture(ownerUnavailable()));
+	}
+
+	private CompletableFuture<RequestOutcome> forward(VmId peer, OwnerCall call) {
+		RequestId id = this.ids.next();
+		PeerMessage.ForwardRequest message = new PeerMessage.ForwardRequest(id, call.team(), Optional.empty(),
+				call.kind(), Optional.of(call.key()), Urgency.DEFERRABLE, false, TIMEOUT_MILLIS,
+				call.operation().method(), "", Map.of(), new PeerMessage.Bytes(call.body()));
+		return this.forwarder.send(peer, message, "", TIMEOUT_MILLIS).thenApply((outcome) -> told(call, outcome));
+	}
+
+	private static RequestOutcome told(OwnerCall call, ForwardOutcome outcome) {
+		if (outcome instanceof ForwardOutcome.Replied replied) {
+			return replied.outcome();
+		}
+		if (outcome instanceof ForwardOutcome.NotSent) {
+			return ownerUnavailable();
+		}
+		return new RequestOutcome.Unknown(new RequestId(call.key().value()));
+	}
+
+	private static RequestOutcome ownerUnavailable() {
+		return new RequestOutcome.NotRun(NotRunReason.OWNER_UNAVAILABLE, RETRY_AFTER_MILLIS);
+	}
+
+	/**
+	 * Reads a call from a frame.
+	 * @param message the frame's message
+	 * @return the call, or empty if the message is not one
+	 */
+	public static Optional<OwnerCall> read(PeerMessage.ForwardRequest message) {
+		if (message.service().isPresent() || message.key().isEmpty()) {
+			return Optional.empty();
+		}
+		for (OwnerCall.Operation operation : OwnerCall.Operation.values()) {
+			if (operation.method().equals(message.method()) && operation.isJob() == message.workKind().isEmpty()) {
+				return Optional.of(new OwnerCall(operation, message.team(), message.workKind(), message.key().get(),
+						message.body().array()));
+			}
+		}
+		return Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/work/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Finds the owner of keyed requests and jobs, here or at a peer.
+ */
+package io.lentilstream.entry.work;
