--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoPayments.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoPayments.java
@@ -128,7 +128,7 @@
 	}
 
 	private String url() {
-		return this.cluster.pick() + "/work/" + DemoNames.TEAM + "/" + DemoNames.PAYMENT;
+		return this.cluster.pick() + "/requests/" + DemoNames.TEAM + "/" + DemoNames.PAYMENT;
 	}
 
 	int acceptedCount() {
--- a/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryDaemon.java
@@ -7,7 +7,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 
 import com.google.common.flogger.FluentLogger;
@@ -51,7 +50,6 @@
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.MonotonicClock;
-import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
 import io.lentilstream.platform.StoreKey;
@@ -87,10 +85,6 @@
 
 	private static final long CHECK_RETRY_MILLIS = 500;
 
-	private static final long DRAIN_POLL_MILLIS = 20;
-
-	private static final long DRAIN_LIMIT_MILLIS = 60_000;
-
 	private final EntrySettings settings;
 
 	private final EntryOptions options;
@@ -143,9 +137,7 @@
 
 	private final Object applying = new Object();
 
-	private final AtomicBoolean draining = new AtomicBoolean();
-
-	private final CompletableFuture<Void> drained = new CompletableFuture<>();
+	private final GracefulShutdown shutdown;
 
 	private volatile List<VmEntry> listed = List.of();
 
@@ -183,6 +175,29 @@
 				new PeerKey(new String(settings.peerKey().reveal(), java.nio.charset.StandardCharsets.UTF_8)),
 				options.random(), this.peers, PEER_THREADS, settings.limits().frameBytes());
 		this.directory = new DirectoryDriver(this.platform.directory(), this::zones, this::listed);
+		this.shutdown = new GracefulShutdown(new GracefulShutdown.Steps() {
+
+			@Override
+			public void tellPeers() {
+				EntryDaemon.this.peers.leave();
+			}
+
+			@Override
+			public void refuseNewRequests() {
+				EntryDaemon.this.requests.perform(EntryDaemon.this.scheduler.drain(EntryDaemon.this.clock.now()));
+			}
+
+			@Override
+			public int requestsInFlight() {
+				return EntryDaemon.this.requests.pendingCount() + EntryDaemon.this.owners.inFlight();
+			}
+
+			@Override
+			public CompletableFuture<Void> releaseShards() {
+				return EntryDaemon.this.ownership.shutdown();
+			}
+
+		}, this.clock, this.threads.timers(), options.lameDuckMillis());
 		this.server = newServer(ids);
 	}
 
@@ -405,25 +420,15 @@
 	 * @return {@code true} once settings are complete, and until the shutdown begins
 	 */
 	public boolean isReady() {
-		return this.replica.isReady() && !this.draining.get();
+		return this.replica.isReady() && !this.shutdown.hasBegun();
 	}
 
 	/**
-	 * Begins the graceful shutdown: readiness goes first, then peers are told, requests
-	 * in flight finish, shards are released, and everything stops.
+	 * Begins the graceful shutdown.
 	 * @return completes when the process may end
 	 */
 	public CompletableFuture<Void> drain() {
-		if (!this.draining.compareAndSet(false, true)) {
-			return this.drained;
-		}
-		logger.atInfo().log(PREFIX + "drains.");
-		this.threads.timers().schedule(() -> {
-			this.peers.leave();
-			this.requests.perform(this.scheduler.drain(this.clock.now()));
-			awaitIdle(this.clock.now().plusMillis(DRAIN_LIMIT_MILLIS));
-		}, this.options.lameDuckMillis(), TimeUnit.MILLISECONDS);
-		return this.drained;
+		return this.shutdown.begin();
 	}
 
 	/**
@@ -431,21 +436,7 @@
 	 * @return completes when the process may end
 	 */
 	public CompletableFuture<Void> drained() {
-		return this.drained;
-	}
-
-	private void awaitIdle(MonotonicTime limit) {
-		boolean late = this.clock.now().isAfter(limit);
-		if (this.requests.pendingCount() > 0 && !late) {
-			this.threads.timers().schedule(() -> awaitIdle(limit), DRAIN_POLL_MILLIS, TimeUnit.MILLISECONDS);
-			return;
-		}
-		this.ownership.shutdown()
-			.orTimeout(DRAIN_LIMIT_MILLIS, TimeUnit.MILLISECONDS)
-			.whenComplete((released, failure) -> {
-				logger.atInfo().log(PREFIX + "drained.");
-				this.drained.complete(null);
-			});
+		return this.shutdown.ended();
 	}
 
 	/**
--- /dev/null
+++ b/entry/src/main/java/io/lentilstream/entry/GracefulShutdown.java
@@ -0,0 +1,124 @@
+package io.lentilstream.entry;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+import com.google.common.flogger.FluentLogger;
+
+import io.lentilstream.model.MonotonicClock;
+import io.lentilstream.model.MonotonicTime;
+
+/**
+ * Orders the steps of a graceful shutdown: readiness ends, the balancer takes the entry
+ * VM out, peers are told, new requests are refused, requests in flight finish, shards are
+ * released.
+ */
+final class GracefulShutdown {
+
+	private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+	private static final String PREFIX = "shutdown: ";
+
+	private static final long POLL_MILLIS = 20;
+
+	/**
+	 * Longest time for each of the two long steps, in milliseconds. Longer than the
+	 * deadlines of requests that callers wait for.
+	 */
+	private static final long STEP_LIMIT_MILLIS = 60_000;
+
+	private final Steps steps;
+
+	private final MonotonicClock clock;
+
+	private final ScheduledExecutorService timers;
+
+	private final long lameDuckMillis;
+
+	private final AtomicBoolean begun = new AtomicBoolean();
+
+	private final CompletableFuture<Void> ended = new CompletableFuture<>();
+
+	GracefulShutdown(Steps steps, MonotonicClock clock, ScheduledExecutorService timers, long lameDuckMillis) {
+		this.steps = steps;
+		this.clock = clock;
+		this.timers = timers;
+		this.lameDuckMillis = lameDuckMillis;
+	}
+
+	boolean hasBegun() {
+		return this.begun.get();
+	}
+
+	CompletableFuture<Void> ended() {
+		return this.ended;
+	}
+
+	CompletableFuture<Void> begin() {
+		if (this.begun.compareAndSet(false, true)) {
+			logger.atInfo().log(PREFIX + "begins.");
+			this.timers.schedule(this::refuse, this.lameDuckMillis, TimeUnit.MILLISECONDS);
+		}
+		return this.ended;
+	}
+
+	private void refuse() {
+		this.steps.tellPeers();
+		this.steps.refuseNewRequests();
+		awaitRequests(this.clock.now().plusMillis(STEP_LIMIT_MILLIS));
+	}
+
+	private void awaitRequests(MonotonicTime limit) {
+		int inFlight = this.steps.requestsInFlight();
+		if (inFlight > 0 && this.clock.now().isBefore(limit)) {
+			this.timers.schedule(() -> awaitRequests(limit), POLL_MILLIS, TimeUnit.MILLISECONDS);
+			return;
+		}
+		if (inFlight > 0) {
+			logger.atSevere().log(PREFIX + "%d requests did not finish in time.", inFlight);
+		}
+		this.timers.schedule(this::giveUp, STEP_LIMIT_MILLIS, TimeUnit.MILLISECONDS);
+		this.steps.releaseShards().thenRun(() -> {
+			logger.atInfo().log(PREFIX + "ended.");
+			this.ended.complete(null);
+		});
+	}
+
+	private void giveUp() {
+		if (this.ended.complete(null)) {
+			logger.atSevere().log(PREFIX + "shards were not released in time; their leases lapse.");
+		}
+	}
+
+	/**
+	 * Is what the parts of the daemon do for a shutdown.
+	 */
+	interface Steps {
+
+		/**
+		 * Announces to all peers that this process shuts down.
+		 */
+		void tellPeers();
+
+		/**
+		 * Refuses new requests as "not run"; those in flight finish.
+		 */
+		void refuseNewRequests();
+
+		/**
+		 * Counts the requests whose callers have no outcome yet.
+		 * @return the count
+		 */
+		int requestsInFlight();
+
+		/**
+		 * Releases all shards and ends the lease.
+		 * @return completes when the peers can take the shards
+		 */
+		CompletableFuture<Void> releaseShards();
+
+	}
+
+}
--- a/entry/src/main/java/io/lentilstream/entry/http/WorkRoutes.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/WorkRoutes.java
@@ -14,7 +14,7 @@
 import io.lentilstream.model.TeamId;
 
 /**
- * Serves deferrable requests under {@code /work} and jobs under {@code /jobs}.
+ * Serves deferrable requests under {@code /requests} and jobs under {@code /jobs}.
  */
 public final class WorkRoutes {
 
@@ -39,8 +39,8 @@
 	 * @param app the application
 	 */
 	public void install(Jooby app) {
-		app.post("/work/{team}/{kind}", this::offer);
-		app.get("/work/{team}/{kind}/{key}", this::collect);
+		app.post("/requests/{team}/{kind}", this::offer);
+		app.get("/requests/{team}/{kind}/{key}", this::collect);
 		app.post("/jobs/{team}", (context) -> job(context, OwnerCall.Operation.SUBMIT_JOB));
 		app.get("/jobs/{team}/{key}", (context) -> job(context, OwnerCall.Operation.SHOW_JOB));
 		app.delete("/jobs/{team}/{key}", (context) -> job(context, OwnerCall.Operation.CANCEL_JOB));
--- a/entry/src/main/java/io/lentilstream/entry/work/OwnerRouter.java
+++ b/entry/src/main/java/io/lentilstream/entry/work/OwnerRouter.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 
 import io.lentilstream.entry.peers.PeerRequestForwarder;
@@ -42,6 +43,8 @@
 
 	private final RequestIds ids;
 
+	private final AtomicInteger inFlight = new AtomicInteger();
+
 	/**
 	 * Creates a router.
 	 * @param shardOf maps a call to its shard
@@ -59,8 +62,21 @@
 		this.ids = ids;
 	}
 
+	/**
+	 * Counts the calls whose callers have no outcome yet.
+	 * @return the count, without calls that peers forwarded
+	 */
+	public int inFlight() {
+		return this.inFlight.get();
+	}
+
 	@Override
 	public CompletableFuture<RequestOutcome> handle(OwnerCall call) {
+		this.inFlight.incrementAndGet();
+		return route(call).whenComplete((outcome, failure) -> this.inFlight.decrementAndGet());
+	}
+
+	private CompletableFuture<RequestOutcome> route(OwnerCall call) {
 		ShardId shard = this.shardOf.apply(call);
 		Optional<OwnerCallHandler> owner = this.local.apply(shard);
 		if (owner.isPresent()) {
--- /dev/null
+++ b/entry/src/test/java/io/lentilstream/entry/GracefulShutdownTests.java
@@ -0,0 +1,89 @@
+package io.lentilstream.entry;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+
+import org.junit.jupiter.api.Test;
+
+import io.lentilstream.entry.fakes.ManualTimers;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+/**
+ * Guards against a shutdown that cuts off a request in flight, or never ends.
+ */
+class GracefulShutdownTests implements GracefulShutdown.Steps {
+
+	private final ManualTimers timers = new ManualTimers();
+
+	private final List<String> events = new ArrayList<>();
+
+	private final CompletableFuture<Void> released = new CompletableFuture<>();
+
+	private final GracefulShutdown shutdown = new GracefulShutdown(this, this.timers, this.timers, 1_000);
+
+	private int inFlight = 2;
+
+	@Override
+	public void tellPeers() {
+		this.events.add("peers told");
+	}
+
+	@Override
+	public void refuseNewRequests() {
+		this.events.add("refuses");
+	}
+
+	@Override
+	public int requestsInFlight() {
+		return this.inFlight;
+	}
+
+	@Override
+	public CompletableFuture<Void> releaseShards() {
+		this.events.add("releases");
+		return this.released;
+	}
+
+	@Test
+	void goesOnServingUntilTheBalancerTookItOut() {
+		this.shutdown.begin();
+		assertThat(this.shutdown.hasBegun()).isTrue();
+		this.timers.advance(Duration.ofMillis(999));
+		assertThat(this.events).isEmpty();
+		this.timers.advance(Duration.ofMillis(1));
+		assertThat(this.events).containsExactly("peers told", "refuses");
+	}
+
+	@Test
+	void releasesShardsOnlyAfterAllRequestsInFlightEnded() {
+		CompletableFuture<Void> ended = this.shutdown.begin();
+		this.timers.advance(Duration.ofSeconds(10));
+		assertThat(this.events).doesNotContain("releases");
+		this.inFlight = 0;
+		this.timers.advance(Duration.ofMillis(20));
+		assertThat(this.events).contains("releases");
+		assertThat(ended).isNotDone();
+		this.released.complete(null);
+		assertThat(ended).isCompleted();
+	}
+
+	@Test
+	void endsThoughARequestHangsAndTheStoreIsAway() {
+		CompletableFuture<Void> ended = this.shutdown.begin();
+		this.timers.advance(Duration.ofSeconds(125));
+		assertThat(this.events).contains("releases");
+		assertThat(ended).isCompleted();
+	}
+
+	@Test
+	void runsEachStepOnceHoweverOftenItIsAsked() {
+		assertThat(this.shutdown.begin()).isSameAs(this.shutdown.begin());
+		this.inFlight = 0;
+		this.timers.advance(Duration.ofSeconds(2));
+		assertThat(this.events).containsExactly("peers told", "refuses", "releases");
+	}
+
+}
