--- a/administration/src/test/java/io/lentilstream/administration/SettingsAdministratorTests.java
+++ b/administration/src/test/java/io/lentilstream/administration/SettingsAdministratorTests.java
@@ -12,11 +12,11 @@
 import org.junit.jupiter.params.provider.CsvSource;
 
 import io.lentilstream.administration.FakeStore.Fault;
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoredValue;
 import io.lentilstream.model.Revision;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoredValue;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/membership/VirtualStore.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/membership/VirtualStore.java
@@ -7,12 +7,12 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WatchOutcome;
 import io.lentilstream.membership.MembershipAction.ListStore;
 import io.lentilstream.membership.MembershipAction.WatchStore;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WatchOutcome;
 
 /**
  * Is the store of the benchmark. It counts its calls, a waiting watch as one.
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/shards/OwnershipRun.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/shards/OwnershipRun.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.TreeMap;
 
+import io.lentilstream.clients.LeaseId;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.LeaseId;
 import io.lentilstream.shards.ownership.OwnershipAction;
 import io.lentilstream.shards.ownership.OwnershipSettings;
 import io.lentilstream.shards.ownership.ShardOwnership;
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/shards/ShardMeasurements.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/shards/ShardMeasurements.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.Random;
 
+import io.lentilstream.clients.EndpointOutcome;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.IdempotencyKey;
@@ -14,7 +15,6 @@
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.EndpointOutcome;
 import io.lentilstream.requests.records.RecordAction;
 import io.lentilstream.requests.records.RecordKey;
 import io.lentilstream.requests.records.RecordStep;
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/DirectoryListSlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/DirectoryListSlope.java
@@ -4,13 +4,13 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.lentilstream.clients.VmEntry;
+import io.lentilstream.clients.http.PlatformJson;
+import io.lentilstream.clients.http.PlatformMessages;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.RackId;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.VmEntry;
-import io.lentilstream.platform.http.PlatformJson;
-import io.lentilstream.platform.http.PlatformMessages;
 
 /**
  * Measures the bytes of one list of the VMs of a zone and the processor time of reading
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/DocumentRelaySlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/DocumentRelaySlope.java
@@ -9,16 +9,16 @@
 
 import io.lentilstream.administration.DocumentCodec;
 import io.lentilstream.administration.StoredDocument;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WatchOutcome;
 import io.lentilstream.entry.settings.SettingsInForce;
 import io.lentilstream.membership.MembershipAction;
 import io.lentilstream.membership.MembershipTiming;
 import io.lentilstream.membership.SettingsReplica;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Revision;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WatchOutcome;
 
 /**
  * Measures what one changed document costs the first watcher of a zone: reading it,
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/MemoryStore.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/MemoryStore.java
@@ -5,14 +5,14 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.LeaseOutcome;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.LeaseOutcome;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WriteOutcome;
 
 /**
  * Is a store in memory that counts its calls. Leases never lapse, since no process of a
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/RequestRecordMemorySlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/RequestRecordMemorySlope.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 
+import io.lentilstream.clients.EndpointOutcome;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.IdempotencyKey;
@@ -11,7 +12,6 @@
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.EndpointOutcome;
 import io.lentilstream.requests.records.RecordAction;
 import io.lentilstream.requests.records.RecordKey;
 import io.lentilstream.requests.records.RecordStep;
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/SettingsReplicaSlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/SettingsReplicaSlope.java
@@ -6,6 +6,8 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.WatchOutcome;
 import io.lentilstream.entry.settings.SettingsInForce;
 import io.lentilstream.membership.LocalState;
 import io.lentilstream.membership.MembershipAction;
@@ -16,8 +18,6 @@
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.WatchOutcome;
 import io.lentilstream.wire.LocalPeer;
 import io.lentilstream.wire.PeerMessage;
 
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/ShardLogSlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/ShardLogSlope.java
@@ -5,9 +5,9 @@
 import java.util.Deque;
 import java.util.List;
 
+import io.lentilstream.clients.StoreWrite;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.StoreWrite;
 import io.lentilstream.shards.log.LogAction;
 import io.lentilstream.shards.log.ShardLog;
 import io.lentilstream.shards.log.ShardLogSettings;
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/TaskShardRun.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/TaskShardRun.java
@@ -9,6 +9,8 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.MonotonicTime;
@@ -18,8 +20,6 @@
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.tasks.JobSubmission;
 import io.lentilstream.tasks.RecoveryOutcome;
 import io.lentilstream.tasks.TaskAction;
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/WorkerRenewalSlope.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/slopes/WorkerRenewalSlope.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Map;
 
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.http.PlatformJson;
-import io.lentilstream.platform.http.PlatformMessages;
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.http.PlatformJson;
+import io.lentilstream.clients.http.PlatformMessages;
 
 /**
  * Measures the bytes of the answer to one renewal and the processor time of reading it,
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/Cluster.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/Cluster.java
@@ -10,8 +10,8 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.Resources;
-import io.lentilstream.platform.TaskReport;
 
 /**
  * Models the VMs, the same for every policy. A task runs slower by the overcommitted
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/DeclaredSizePolicy.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/DeclaredSizePolicy.java
@@ -9,8 +9,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.Resources;
-import io.lentilstream.platform.TaskReport;
 
 /**
  * Places tasks by their declared sizes in the order of arrival, urgent ones first; tasks
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/TaskRun.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/TaskRun.java
@@ -4,8 +4,8 @@
 import java.util.Deque;
 import java.util.Optional;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.Resources;
-import io.lentilstream.platform.TaskReport;
 
 /**
  * Is one attempt of a task on a VM. Progress is in seconds of an undisturbed run.
--- a/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/TaskShardPolicy.java
+++ b/benchmarks/src/main/java/io/lentilstream/benchmarks/tasks/baselines/TaskShardPolicy.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.RackId;
@@ -15,8 +17,6 @@
 import io.lentilstream.model.TaskId;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.tasks.JobAnswer;
 import io.lentilstream.tasks.JobSubmission;
 import io.lentilstream.tasks.RecoveryOutcome;
--- a/cli/src/main/java/io/lentilstream/cli/demo/Demo.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/Demo.java
@@ -9,8 +9,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.EndpointId;
-import io.lentilstream.platform.TaskReport;
 import io.lentilstream.standin.EndpointFault;
 import io.lentilstream.standin.OutageMode;
 import io.lentilstream.standin.StandinRecords;
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoReport.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoReport.java
@@ -5,7 +5,7 @@
 
 import org.HdrHistogram.ConcurrentHistogram;
 
-import io.lentilstream.platform.TaskReport;
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.standin.StandinRecords;
 
 /**
--- a/platform/src/main/java/io/lentilstream/platform/EndpointOutcome.java
+++ b/clients/src/main/java/io/lentilstream/clients/EndpointOutcome.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform;
+package io.lentilstream.clients;
 
 /**
  * Is the outcome of sending a request to an endpoint.
--- a/platform/src/main/java/io/lentilstream/platform/KeyOutcome.java
+++ b/clients/src/main/java/io/lentilstream/clients/KeyOutcome.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform;
+package io.lentilstream.clients;
 
 /**
  * Is what an endpoint knows about an idempotency key.
--- a/platform/src/main/java/io/lentilstream/platform/LeaseId.java
+++ b/clients/src/main/java/io/lentilstream/clients/LeaseId.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform;
+package io.lentilstream.clients;
 
 /**
  * Identifies a lease of the platform's store.
--- a/platform/src/main/java/io/lentilstream/platform/LeaseOutcome.java
+++ b/clients/src/main/java/io/lentilstream/clients/LeaseOutcome.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform;
+package io.lentilstream.clients;
 
 /**
  * Is the outcome of granting, renewing or revoking a lease.
--- a/platform/src/main/java/io/lentilstream/platform/StoreKey.java
+++ b/clients/src/main/java/io/lentilstream/clients/StoreKey.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform;
+package io.lentilstream.clients;
 
 /**
  * Is a path in the platform's store, such as {@code /teams/bakery}.
--- a/platform/src/main/java/io/lentilstream/platform/StoredValue.java
+++ b/clients/src/main/java/io/lentilstream/clients/StoredValue.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform;
+package io.lentilstream.clients;
 
 /**
  * Is a value read from the store. The caller must not change the bytes.
--- a/platform/src/main/java/io/lentilstream/platform/WatchOutcome.java
+++ b/clients/src/main/java/io/lentilstream/clients/WatchOutcome.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform;
+package io.lentilstream.clients;
 
 import java.util.List;
 
--- a/platform/src/main/java/io/lentilstream/platform/http/HttpEndpointClient.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/HttpEndpointClient.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -18,13 +18,13 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 
+import io.lentilstream.clients.EndpointClient;
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.EndpointRequest;
+import io.lentilstream.clients.KeyOutcome;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.IdempotencyKey;
 import io.lentilstream.model.RequestId;
-import io.lentilstream.platform.EndpointClient;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.EndpointRequest;
-import io.lentilstream.platform.KeyOutcome;
 
 /**
  * Sends requests to endpoints over HTTP.
--- a/platform/src/main/java/io/lentilstream/platform/http/HttpStoreClient.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/HttpStoreClient.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.time.Duration;
 import java.util.Optional;
@@ -11,16 +11,16 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.LeaseOutcome;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WatchOutcome;
-import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.LeaseOutcome;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WatchOutcome;
+import io.lentilstream.clients.WriteOutcome;
 
 /**
  * Calls the store over HTTP.
--- a/platform/src/main/java/io/lentilstream/platform/http/HttpVmDirectory.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/HttpVmDirectory.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.util.List;
 import java.util.Optional;
@@ -7,9 +7,9 @@
 import okhttp3.HttpUrl;
 import okhttp3.Request;
 
+import io.lentilstream.clients.VmDirectory;
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.model.AvailabilityZoneId;
-import io.lentilstream.platform.VmDirectory;
-import io.lentilstream.platform.VmEntry;
 
 /**
  * Reads the list of VMs over HTTP.
--- a/platform/src/main/java/io/lentilstream/platform/http/HttpWorkerClient.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/HttpWorkerClient.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.time.Duration;
 import java.util.List;
@@ -11,14 +11,14 @@
 import okhttp3.Request;
 import okhttp3.RequestBody;
 
+import io.lentilstream.clients.TaskSpecification;
+import io.lentilstream.clients.WorkerClient;
+import io.lentilstream.clients.WorkerOutcome;
+import io.lentilstream.clients.http.PlatformMessages.WorkerCommand;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TaskId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskSpecification;
-import io.lentilstream.platform.WorkerClient;
-import io.lentilstream.platform.WorkerOutcome;
-import io.lentilstream.platform.http.PlatformMessages.WorkerCommand;
 
 /**
  * Commands workers over HTTP.
--- a/platform/src/main/java/io/lentilstream/platform/http/PlatformJson.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/PlatformJson.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.io.IOException;
 import java.util.Optional;
@@ -8,6 +8,16 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.TaskSpecification;
+import io.lentilstream.clients.VmEntry;
+import io.lentilstream.clients.http.PlatformMessages.ReportMessage;
+import io.lentilstream.clients.http.PlatformMessages.ResourcesMessage;
+import io.lentilstream.clients.http.PlatformMessages.StoredMessage;
+import io.lentilstream.clients.http.PlatformMessages.TaskMessage;
+import io.lentilstream.clients.http.PlatformMessages.VmMessage;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.RackId;
@@ -17,16 +27,6 @@
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.TaskSpecification;
-import io.lentilstream.platform.VmEntry;
-import io.lentilstream.platform.http.PlatformMessages.ReportMessage;
-import io.lentilstream.platform.http.PlatformMessages.ResourcesMessage;
-import io.lentilstream.platform.http.PlatformMessages.StoredMessage;
-import io.lentilstream.platform.http.PlatformMessages.TaskMessage;
-import io.lentilstream.platform.http.PlatformMessages.VmMessage;
 
 /**
  * Converts between JSON, messages and value types.
--- a/platform/src/main/java/io/lentilstream/platform/http/PlatformMessages.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/PlatformMessages.java
@@ -1,11 +1,11 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.util.List;
 
 import com.fasterxml.jackson.annotation.JsonProperty;
 
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.VmEntry;
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.VmEntry;
 
 /**
  * Holds the JSON messages between the HTTP clients and the platform. Bytes are base64; a
--- a/platform/src/main/java/io/lentilstream/platform/http/StoreCallMeter.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/StoreCallMeter.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.util.concurrent.atomic.LongAdder;
 
--- a/platform/src/main/java/io/lentilstream/platform/http/package-info.java
+++ b/clients/src/main/java/io/lentilstream/clients/http/package-info.java
@@ -1,4 +1,4 @@
 /**
  * HTTP clients of the platform: store, workers, endpoints and list of VMs.
  */
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
--- a/platform/src/test/java/io/lentilstream/platform/http/HttpCallsTests.java
+++ b/clients/src/test/java/io/lentilstream/clients/http/HttpCallsTests.java
@@ -1,4 +1,4 @@
-package io.lentilstream.platform.http;
+package io.lentilstream.clients.http;
 
 import java.io.IOException;
 import java.time.Duration;
@@ -23,6 +23,14 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.EndpointRequest;
+import io.lentilstream.clients.KeyOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.WorkerOutcome;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.Epoch;
@@ -30,14 +38,6 @@
 import io.lentilstream.model.RequestId;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.EndpointRequest;
-import io.lentilstream.platform.KeyOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.WorkerOutcome;
-import io.lentilstream.platform.WriteOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/NettyEventLoop.java
@@ -0,0 +1,50 @@
+package io.lentilstream.control;
+
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+
+import io.netty.channel.EventLoopGroup;
+
+/**
+ * Is an event loop on Netty's.
+ */
+public final class NettyEventLoop implements EventLoop {
+
+	private static final long NANOS_PER_MILLI = 1_000_000;
+
+	private final EventLoopGroup group;
+
+	/**
+	 * Creates an event loop.
+	 * @param group a group of one thread
+	 */
+	public NettyEventLoop(EventLoopGroup group) {
+		this.group = group;
+	}
+
+	@Override
+	public long now() {
+		return System.nanoTime() / NANOS_PER_MILLI;
+	}
+
+	@Override
+	public long timeOfDay() {
+		return System.currentTimeMillis();
+	}
+
+	@Override
+	public Runnable after(long millis, Runnable task) {
+		Future<?> future = this.group.schedule(() -> runChecked(task), millis, TimeUnit.MILLISECONDS);
+		return () -> future.cancel(false);
+	}
+
+	private static void runChecked(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException ex) {
+			Invariants.check(ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/http/HttpListener.java
@@ -0,0 +1,196 @@
+package io.lentilstream.control.http;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+
+import io.lentilstream.control.Invariants;
+
+/**
+ * Listens for HTTP requests. All methods are called on the event loop.
+ */
+public final class HttpListener {
+
+	private static final int BACKLOG = 1024;
+
+	private static final int MAX_LINE_BYTES = 8192;
+
+	private static final int MAX_HEADER_BYTES = 16_384;
+
+	private static final int MAX_CHUNK_BYTES = 8192;
+
+	private static final int BAD_REQUEST = 400;
+
+	private final HttpHandler handler;
+
+	private final int maxBodyBytes;
+
+	private final Set<Exchange> exchanges = new HashSet<>();
+
+	private Channel server;
+
+	private boolean draining;
+
+	/**
+	 * Creates a listener that does not listen yet.
+	 * @param handler answers the requests
+	 * @param maxBodyBytes the largest body, in bytes
+	 */
+	public HttpListener(HttpHandler handler, int maxBodyBytes) {
+		this.handler = handler;
+		this.maxBodyBytes = maxBodyBytes;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @param group the group of the event loop
+	 * @param address where to listen
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
+		ServerBootstrap bootstrap = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_BACKLOG, BACKLOG)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new ChannelInitializer<SocketChannel>() {
+				@Override
+				protected void initChannel(SocketChannel channel) {
+					channel.pipeline()
+						.addLast(new HttpServerCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
+								new HttpObjectAggregator(HttpListener.this.maxBodyBytes), new Exchange());
+				}
+			});
+		this.server = bootstrap.bind(address).sync().channel();
+	}
+
+	/**
+	 * Asks callers to leave: idle connections are closed, others after their next answer.
+	 */
+	public void drain() {
+		this.draining = true;
+		List.copyOf(this.exchanges).forEach(Exchange::closeIfIdle);
+	}
+
+	/**
+	 * Stops to listen.
+	 */
+	public void stop() {
+		if (this.server != null) {
+			this.server.close();
+		}
+		drain();
+	}
+
+	/**
+	 * Counts the requests that wait for their answer.
+	 * @return the number of requests
+	 */
+	public int inFlight() {
+		int count = 0;
+		for (Exchange exchange : this.exchanges) {
+			count += exchange.busy ? 1 : 0;
+		}
+		return count;
+	}
+
+	/**
+	 * Answers the requests of one connection in turn.
+	 */
+	private final class Exchange extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+		private ChannelHandlerContext context;
+
+		private boolean busy;
+
+		@Override
+		public void channelActive(ChannelHandlerContext opened) {
+			this.context = opened;
+			HttpListener.this.exchanges.add(this);
+		}
+
+		@Override
+		public void channelInactive(ChannelHandlerContext closed) {
+			HttpListener.this.exchanges.remove(this);
+		}
+
+		@Override
+		protected void channelRead0(ChannelHandlerContext opened, FullHttpRequest request) {
+			this.busy = true;
+			// Answers must not overtake each other on a connection.
+			opened.channel().config().setAutoRead(false);
+			boolean keep = HttpUtil.isKeepAlive(request);
+			if (request.decoderResult().isFailure()) {
+				answer(HttpHandler.Response.of(BAD_REQUEST), false);
+				return;
+			}
+			HttpHandler.Request whole = new HttpHandler.Request(request.method(), request.uri(),
+					request.headers().copy(), ByteBufUtil.getBytes(request.content()));
+			HttpListener.this.handler.handle(whole, (response) -> answer(response, keep));
+		}
+
+		private void answer(HttpHandler.Response response, boolean keep) {
+			if (!this.busy) {
+				throw new IllegalStateException("a request was answered twice");
+			}
+			this.busy = false;
+			boolean keepOpen = keep && !HttpListener.this.draining;
+			FullHttpResponse message = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+					HttpResponseStatus.valueOf(response.status()), Unpooled.wrappedBuffer(response.body()));
+			message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+			if (response.body().length > 0) {
+				message.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+			}
+			if (response.retryAfterSeconds() > 0) {
+				message.headers().set(HttpHeaderNames.RETRY_AFTER, response.retryAfterSeconds());
+			}
+			if (!keepOpen) {
+				message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+			}
+			this.context.writeAndFlush(message).addListener((written) -> {
+				if (!keepOpen) {
+					this.context.close();
+				}
+			});
+			this.context.channel().config().setAutoRead(true);
+		}
+
+		private void closeIfIdle() {
+			if (!this.busy) {
+				this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+			}
+		}
+
+		@Override
+		public void exceptionCaught(ChannelHandlerContext opened, Throwable cause) {
+			Invariants.check(cause);
+			opened.close();
+		}
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/leadership/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Election of the process that drives the jobs.
+ */
+package io.lentilstream.control.leadership;
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/logging/JsonLineLog.java
@@ -0,0 +1,162 @@
+package io.lentilstream.control.logging;
+
+import java.io.IOException;
+import java.io.PrintStream;
+import java.io.StringWriter;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.function.LongSupplier;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+
+import io.lentilstream.jobs.DecisionLog;
+
+/**
+ * Writes a JSON object a line. Lines are written by a thread of their own, so that a
+ * blocked output never blocks the decisions; lines over the bounds are counted and left
+ * out.
+ */
+public final class JsonLineLog implements DecisionLog {
+
+	/** Lines of one kind a second; more are left out. */
+	private static final int LINES_PER_SECOND = 200;
+
+	private static final int QUEUED_LINES = 4000;
+
+	/** Time between two writes, in milliseconds. */
+	private static final long WRITE_MILLIS = 100;
+
+	private static final long SECOND_MILLIS = 1000;
+
+	private final JsonFactory json = new JsonFactory();
+
+	private final String node;
+
+	private final LongSupplier timeOfDay;
+
+	private final ArrayBlockingQueue<String> lines = new ArrayBlockingQueue<>(QUEUED_LINES);
+
+	private final Map<String, Integer> counts = new HashMap<>();
+
+	private long second;
+
+	private long leftOut;
+
+	/**
+	 * Creates a log.
+	 * @param node the name of the process, in each line
+	 * @param timeOfDay the time of day in milliseconds since 1970
+	 */
+	public JsonLineLog(String node, LongSupplier timeOfDay) {
+		this.node = node;
+		this.timeOfDay = timeOfDay;
+	}
+
+	/**
+	 * Starts the thread that writes.
+	 * @param output where to write
+	 */
+	public void start(PrintStream output) {
+		Thread writer = new Thread(() -> write(output), "log-writer");
+		writer.setDaemon(true);
+		writer.start();
+	}
+
+	@Override
+	public void note(String decision, Object subject, Object... inputs) {
+		long time = this.timeOfDay.getAsLong();
+		if (overBound(decision, time)) {
+			this.leftOut++;
+			return;
+		}
+		if (!this.lines.offer(format(time, decision, subject, inputs))) {
+			this.leftOut++;
+		}
+	}
+
+	private boolean overBound(String decision, long time) {
+		if (time / SECOND_MILLIS != this.second) {
+			this.second = time / SECOND_MILLIS;
+			this.counts.clear();
+			if (this.leftOut > 0) {
+				long count = this.leftOut;
+				this.leftOut = 0;
+				note("lines-left-out", this.node, "count", count);
+			}
+		}
+		return this.counts.merge(decision, 1, Integer::sum) > LINES_PER_SECOND;
+	}
+
+	private String format(long time, String decision, Object subject, Object[] inputs) {
+		StringWriter line = new StringWriter();
+		try (JsonGenerator generator = this.json.createGenerator(line)) {
+			generator.writeStartObject();
+			generator.writeNumberField("time", time);
+			generator.writeStringField("node", this.node);
+			generator.writeStringField("decision", decision);
+			generator.writeStringField("subject", String.valueOf(subject));
+			for (int i = 0; i + 1 < inputs.length; i += 2) {
+				writeValue(generator, String.valueOf(inputs[i]), inputs[i + 1]);
+			}
+			generator.writeEndObject();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a buffer in memory failed", ex);
+		}
+		return line.toString();
+	}
+
+	private static void writeValue(JsonGenerator generator, String name, Object value) throws IOException {
+		if (value instanceof Integer number) {
+			generator.writeNumberField(name, number);
+		}
+		else if (value instanceof Long number) {
+			generator.writeNumberField(name, number);
+		}
+		else if (value instanceof Double number) {
+			generator.writeNumberField(name, number);
+		}
+		else if (value instanceof Boolean flag) {
+			generator.writeBooleanField(name, flag);
+		}
+		else {
+			generator.writeStringField(name, String.valueOf(value));
+		}
+	}
+
+	private void write(PrintStream output) {
+		List<String> batch = new ArrayList<>();
+		while (!Thread.currentThread().isInterrupted()) {
+			flush(output, batch);
+			try {
+				Thread.sleep(WRITE_MILLIS);
+			}
+			catch (InterruptedException ex) {
+				Thread.currentThread().interrupt();
+			}
+		}
+	}
+
+	private void flush(PrintStream output, List<String> batch) {
+		this.lines.drainTo(batch);
+		if (batch.isEmpty()) {
+			return;
+		}
+		output.println(String.join("\n", batch));
+		output.flush();
+		batch.clear();
+	}
+
+	/**
+	 * Writes what is queued, at the end of the process.
+	 * @param output where to write
+	 */
+	public void flush(PrintStream output) {
+		flush(output, new ArrayList<>());
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/logging/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Structured log lines on standard output.
+ */
+package io.lentilstream.control.logging;
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * What the parts of a control process share.
+ */
+package io.lentilstream.control;
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerListener.java
@@ -0,0 +1,63 @@
+package io.lentilstream.control.peers;
+
+import java.net.InetSocketAddress;
+import java.util.function.UnaryOperator;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+
+/**
+ * Takes connections of peers and answers their frames.
+ */
+public final class PeerListener {
+
+	private final UnaryOperator<PeerFrame> handler;
+
+	private Channel server;
+
+	/**
+	 * Creates a listener that does not listen yet.
+	 * @param handler returns the answer to a frame, or {@code null} if there is none
+	 */
+	public PeerListener(UnaryOperator<PeerFrame> handler) {
+		this.handler = handler;
+	}
+
+	/**
+	 * Starts to listen.
+	 * @param group the group of the event loop
+	 * @param address where to listen
+	 * @throws InterruptedException if the thread is interrupted meanwhile
+	 */
+	public void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
+		this.server = new ServerBootstrap().group(group)
+			.channel(NioServerSocketChannel.class)
+			.option(ChannelOption.SO_REUSEADDR, true)
+			.childOption(ChannelOption.TCP_NODELAY, true)
+			.childHandler(new PeerChannel(this::received, () -> {
+			}))
+			.bind(address)
+			.sync()
+			.channel();
+	}
+
+	/**
+	 * Stops to listen.
+	 */
+	public void stop() {
+		if (this.server != null) {
+			this.server.close();
+		}
+	}
+
+	private void received(Channel channel, PeerFrame frame) {
+		PeerFrame answer = this.handler.apply(frame);
+		if (answer != null) {
+			PeerChannel.send(channel, answer);
+		}
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/peers/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Frames between control processes.
+ */
+package io.lentilstream.control.peers;
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/store/RangeReader.java
@@ -0,0 +1,54 @@
+package io.lentilstream.control.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+
+/**
+ * Reads all items below a prefix, page by page.
+ */
+public final class RangeReader {
+
+	private final MetadataStore store;
+
+	private final String prefix;
+
+	private final List<StoredItem> items = new ArrayList<>();
+
+	private long firstRevision = -1;
+
+	private RangeReader(MetadataStore store, String prefix) {
+		this.store = store;
+		this.prefix = prefix;
+	}
+
+	/**
+	 * Reads all items below a prefix. Pages are not a snapshot, so the revision of the
+	 * first one is returned, from which changes have to be followed.
+	 * @param store the store
+	 * @param prefix the prefix
+	 * @param reply gets the items
+	 */
+	public static void readAll(MetadataStore store, String prefix, Consumer<StoreReply<MetadataStore.Page>> reply) {
+		new RangeReader(store, prefix).next("", reply);
+	}
+
+	private void next(String after, Consumer<StoreReply<MetadataStore.Page>> reply) {
+		this.store.range(this.prefix, after, (answer) -> {
+			if (!(answer instanceof StoreReply.Ok<MetadataStore.Page> page)) {
+				reply.accept(answer);
+				return;
+			}
+			this.items.addAll(page.value().items());
+			if (this.firstRevision < 0) {
+				this.firstRevision = page.value().asOfRevision();
+			}
+			if (page.value().more() && !page.value().items().isEmpty()) {
+				next(this.items.get(this.items.size() - 1).key(), reply);
+				return;
+			}
+			reply.accept(new StoreReply.Ok<>(new MetadataStore.Page(this.items, false, this.firstRevision)));
+		});
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/term/JobKeys.java
@@ -0,0 +1,61 @@
+package io.lentilstream.control.term;
+
+import java.util.Optional;
+
+import io.lentilstream.model.JobId;
+
+/**
+ * Names the items of jobs in the store.
+ */
+public final class JobKeys {
+
+	/** Prefix of what callers have sent. */
+	public static final String INTAKE = "lentilstream/in/";
+
+	/** Prefix of submissions. */
+	public static final String SUBMISSIONS = INTAKE + "job/";
+
+	/** Prefix of cancellations. */
+	public static final String CANCELLATIONS = INTAKE + "cancel/";
+
+	/** Prefix of progress. */
+	public static final String PROGRESS = "lentilstream/progress/";
+
+	/** The VMs to which the leader may have given orders. */
+	public static final String WORKERS = "lentilstream/workers";
+
+	private JobKeys() {
+	}
+
+	/**
+	 * Returns the key of a submission.
+	 * @param id the job
+	 * @return the key
+	 */
+	public static String submission(JobId id) {
+		return SUBMISSIONS + id;
+	}
+
+	/**
+	 * Returns the key of a cancellation.
+	 * @param id the job
+	 * @return the key
+	 */
+	public static String cancellation(JobId id) {
+		return CANCELLATIONS + id;
+	}
+
+	/**
+	 * Returns the key of a job's progress.
+	 * @param id the job
+	 * @return the key
+	 */
+	public static String progress(JobId id) {
+		return PROGRESS + id;
+	}
+
+	static Optional<JobId> idBelow(String prefix, String key) {
+		return key.startsWith(prefix) ? Optional.of(new JobId(key.substring(prefix.length()))) : Optional.empty();
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/term/ProgressLog.java
@@ -0,0 +1,142 @@
+package io.lentilstream.control.term;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+import io.lentilstream.control.EventLoop;
+import io.lentilstream.control.leadership.Leadership;
+import io.lentilstream.control.store.Commit;
+import io.lentilstream.control.store.MetadataStore;
+import io.lentilstream.control.store.StoreReply;
+import io.lentilstream.control.store.StoredItem;
+import io.lentilstream.jobs.JobProgress;
+import io.lentilstream.jobs.codec.ProgressCodec;
+import io.lentilstream.jobs.scheduling.JobScheduler;
+import io.lentilstream.model.JobId;
+
+/**
+ * Stores the changes of jobs, several in one commit. A commit requires that this process
+ * still leads and that each item is as it was last seen, so that a commit without an
+ * answer cannot undo a later one. Load pattern: the ends of many short tasks against a
+ * store that limits calls.
+ */
+final class ProgressLog {
+
+	/** Each change takes a condition and a write, besides the condition on the leader. */
+	private static final int MAX_BATCH = (Commit.MAX_ENTRIES - 1) / 2;
+
+	/** How long changes that nobody waits for are gathered, in milliseconds. */
+	private static final long GATHER_MILLIS = 80;
+
+	/** How long changes that callers wait for are gathered, in milliseconds. */
+	private static final long URGENT_GATHER_MILLIS = 15;
+
+	/** Pause after a commit that failed, in milliseconds. */
+	private static final long RETRY_MILLIS = 150;
+
+	private final EventLoop loop;
+
+	private final MetadataStore store;
+
+	private final JobScheduler scheduler;
+
+	private final long token;
+
+	private final Runnable superseded;
+
+	private final Map<JobId, Long> revisions = new HashMap<>();
+
+	private boolean inFlight;
+
+	private long commitAt = Long.MAX_VALUE;
+
+	private long notBefore;
+
+	private boolean stopped;
+
+	ProgressLog(EventLoop loop, MetadataStore store, JobScheduler scheduler, long token, Runnable superseded) {
+		this.loop = loop;
+		this.store = store;
+		this.scheduler = scheduler;
+		this.token = token;
+		this.superseded = superseded;
+	}
+
+	void loaded(JobId job, long revision) {
+		this.revisions.put(job, revision);
+	}
+
+	void forget(JobId job) {
+		this.revisions.remove(job);
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Stores what is due. Is to be called after each turn of the scheduler.
+	 */
+	void commitIfDue() {
+		if (this.stopped || this.inFlight || !this.scheduler.hasChanges()) {
+			return;
+		}
+		long now = this.loop.now();
+		long gather = this.scheduler.hasUrgentChanges() ? URGENT_GATHER_MILLIS : GATHER_MILLIS;
+		if (this.commitAt == Long.MAX_VALUE) {
+			this.commitAt = now + gather;
+		}
+		this.commitAt = Math.max(this.notBefore, Math.min(this.commitAt, now + gather));
+		if (now >= this.commitAt) {
+			commit();
+			return;
+		}
+		this.loop.after(this.commitAt - now, this::commitIfDue);
+	}
+
+	private void commit() {
+		this.inFlight = true;
+		this.commitAt = Long.MAX_VALUE;
+		List<JobScheduler.Change> changes = this.scheduler.takeChanges(MAX_BATCH);
+		Commit commit = new Commit().require(Leadership.LEADER_KEY, this.token);
+		for (JobScheduler.Change change : changes) {
+			JobProgress progress = change.progress();
+			String key = JobKeys.progress(progress.job());
+			commit.require(key, this.revisions.getOrDefault(progress.job(), 0L))
+				.write(key, ProgressCodec.encode(progress), 0);
+		}
+		this.store.commit(commit, (reply) -> committed(changes, reply));
+	}
+
+	private void committed(List<JobScheduler.Change> changes, StoreReply<Long> reply) {
+		this.inFlight = false;
+		if (this.stopped) {
+			return;
+		}
+		if (reply instanceof StoreReply.Ok<Long> revision) {
+			for (JobScheduler.Change change : changes) {
+				this.revisions.put(change.progress().job(), revision.value());
+				this.scheduler.stored(change);
+			}
+			commitIfDue();
+			return;
+		}
+		changes.forEach(this.scheduler::notStored);
+		if (reply instanceof StoreReply.Conflict<Long> conflict) {
+			for (StoredItem item : conflict.items()) {
+				if (item.key().equals(Leadership.LEADER_KEY) && item.revision() != this.token) {
+					this.superseded.run();
+					return;
+				}
+				JobKeys.idBelow(JobKeys.PROGRESS, item.key())
+					.ifPresent((job) -> this.revisions.put(job, item.exists() ? item.revision() : 0));
+			}
+		}
+		else {
+			this.notBefore = this.loop.now() + RETRY_MILLIS;
+		}
+		commitIfDue();
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/term/WorkerPlatform.java
@@ -0,0 +1,51 @@
+package io.lentilstream.control.term;
+
+import java.util.Optional;
+
+import io.lentilstream.control.store.StoredItem;
+import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.WorkerOrders;
+
+/**
+ * Is what a leader needs of the platform to follow VMs and give them orders.
+ */
+public interface WorkerPlatform {
+
+	/**
+	 * Opens connections for orders.
+	 * @param token the fencing token of the orders
+	 * @return sends orders
+	 */
+	Orders orders(long token);
+
+	/**
+	 * Returns where the entries of VMs are in the store.
+	 * @return the prefix of their keys
+	 */
+	String listPrefix();
+
+	/**
+	 * Decodes an entry of a VM.
+	 * @param item the item
+	 * @return the entry, or empty if it names no VM to use
+	 */
+	Optional<WorkerListing> decode(StoredItem item);
+
+	/**
+	 * Returns the id of the VM whose entry has a key.
+	 * @param key the key
+	 * @return the id
+	 */
+	String idOf(String key);
+
+	/**
+	 * Sends orders until it is closed.
+	 */
+	interface Orders extends WorkerOrders, AutoCloseable {
+
+		@Override
+		void close();
+
+	}
+
+}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/term/WorkerRegister.java
@@ -0,0 +1,178 @@
+package io.lentilstream.control.term;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+import io.lentilstream.control.EventLoop;
+import io.lentilstream.control.leadership.Leadership;
+import io.lentilstream.control.store.Commit;
+import io.lentilstream.control.store.MetadataStore;
+import io.lentilstream.control.store.StoreReply;
+import io.lentilstream.control.store.StoredItem;
+import io.lentilstream.jobs.WorkerId;
+import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.scheduling.JobScheduler;
+import io.lentilstream.model.Resources;
+import io.lentilstream.model.ServiceName;
+
+/**
+ * Stores the VMs before they get their first order, so that a successor knows where tasks
+ * may be running even if a VM has left the platform's list.
+ */
+final class WorkerRegister {
+
+	private static final long RETRY_MILLIS = 200;
+
+	private final EventLoop loop;
+
+	private final MetadataStore store;
+
+	private final JobScheduler scheduler;
+
+	private final long token;
+
+	private final Runnable superseded;
+
+	private final Map<WorkerId, WorkerListing> waiting = new LinkedHashMap<>();
+
+	private final Set<WorkerId> registered = new HashSet<>();
+
+	private long revision;
+
+	private boolean inFlight;
+
+	private boolean stopped;
+
+	WorkerRegister(EventLoop loop, MetadataStore store, JobScheduler scheduler, long token, Runnable superseded) {
+		this.loop = loop;
+		this.store = store;
+		this.scheduler = scheduler;
+		this.token = token;
+		this.superseded = superseded;
+	}
+
+	void loaded(StoredItem item, List<WorkerListing> workers) {
+		this.revision = item.exists() ? item.revision() : 0;
+		workers.forEach((worker) -> this.registered.add(worker.id()));
+	}
+
+	void stop() {
+		this.stopped = true;
+	}
+
+	/**
+	 * Passes an entry of the list of VMs on to the scheduler once the VM is stored.
+	 * @param listing the entry
+	 */
+	void list(WorkerListing listing) {
+		if (this.registered.contains(listing.id())) {
+			this.scheduler.list(listing);
+			return;
+		}
+		this.waiting.put(listing.id(), listing);
+	}
+
+	void unlist(WorkerId id) {
+		this.waiting.remove(id);
+		this.scheduler.unlist(id);
+	}
+
+	/**
+	 * Stores the VMs that wait.
+	 */
+	void store() {
+		if (this.stopped || this.inFlight || this.waiting.isEmpty()) {
+			return;
+		}
+		this.inFlight = true;
+		List<WorkerListing> added = List.copyOf(this.waiting.values());
+		List<WorkerListing> all = new ArrayList<>(this.scheduler.workers());
+		all.addAll(added);
+		Commit commit = new Commit().require(Leadership.LEADER_KEY, this.token)
+			.require(JobKeys.WORKERS, this.revision)
+			.write(JobKeys.WORKERS, encode(all), 0);
+		this.store.commit(commit, (reply) -> stored(added, reply));
+	}
+
+	private void stored(List<WorkerListing> added, StoreReply<Long> reply) {
+		this.inFlight = false;
+		if (this.stopped) {
+			return;
+		}
+		if (reply instanceof StoreReply.Ok<Long> stored) {
+			this.revision = stored.value();
+			added.forEach(this::release);
+			this.scheduler.tick();
+			store();
+			return;
+		}
+		if (reply instanceof StoreReply.Conflict<Long> conflict) {
+			for (StoredItem item : conflict.items()) {
+				if (item.key().equals(Leadership.LEADER_KEY) && item.revision() != this.token) {
+					this.superseded.run();
+					return;
+				}
+				if (item.key().equals(JobKeys.WORKERS)) {
+					this.revision = item.exists() ? item.revision() : 0;
+				}
+			}
+		}
+		this.loop.after(RETRY_MILLIS, this::store);
+	}
+
+	private void release(WorkerListing added) {
+		this.registered.add(added.id());
+		WorkerListing latest = this.waiting.remove(added.id());
+		if (latest != null) {
+			this.scheduler.list(latest);
+		}
+	}
+
+	private static byte[] encode(List<WorkerListing> workers) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(workers.size());
+			for (WorkerListing worker : workers) {
+				packer.packString(worker.id().value());
+				packer.packLong(worker.bornMillis());
+				packer.packString(worker.service().value());
+				packer.packString(worker.address().getAddress().getHostAddress());
+				packer.packInt(worker.address().getPort());
+			}
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a buffer in memory failed", ex);
+		}
+	}
+
+	static List<WorkerListing> decode(byte[] bytes, Consumer<Exception> unreadable) {
+		List<WorkerListing> workers = new ArrayList<>();
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			int count = unpacker.unpackArrayHeader();
+			for (int i = 0; i < count; i++) {
+				WorkerId id = new WorkerId(unpacker.unpackString());
+				long born = unpacker.unpackLong();
+				ServiceName service = new ServiceName(unpacker.unpackString());
+				InetSocketAddress address = new InetSocketAddress(unpacker.unpackString(), unpacker.unpackInt());
+				workers.add(new WorkerListing(id, born, service, address, "", false, "", Resources.NONE, Set.of()));
+			}
+		}
+		catch (IOException | MessagePackException ex) {
+			unreadable.accept(ex);
+		}
+		return workers;
+	}
+
+}
--- a/entry/src/main/java/io/lentilstream/entry/EntryPlatform.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryPlatform.java
@@ -5,18 +5,18 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
 
-import io.lentilstream.platform.EndpointClient;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.VmDirectory;
-import io.lentilstream.platform.VmEntry;
-import io.lentilstream.platform.WorkerClient;
-import io.lentilstream.platform.http.HttpCalls;
-import io.lentilstream.platform.http.HttpClientSettings;
-import io.lentilstream.platform.http.HttpEndpointClient;
-import io.lentilstream.platform.http.HttpStoreClient;
-import io.lentilstream.platform.http.HttpVmDirectory;
-import io.lentilstream.platform.http.HttpWorkerClient;
-import io.lentilstream.platform.http.StoreCallMeter;
+import io.lentilstream.clients.EndpointClient;
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.VmDirectory;
+import io.lentilstream.clients.VmEntry;
+import io.lentilstream.clients.WorkerClient;
+import io.lentilstream.clients.http.HttpCalls;
+import io.lentilstream.clients.http.HttpClientSettings;
+import io.lentilstream.clients.http.HttpEndpointClient;
+import io.lentilstream.clients.http.HttpStoreClient;
+import io.lentilstream.clients.http.HttpVmDirectory;
+import io.lentilstream.clients.http.HttpWorkerClient;
+import io.lentilstream.clients.http.StoreCallMeter;
 import io.lentilstream.settings.process.EntrySettings;
 
 /**
--- a/entry/src/main/java/io/lentilstream/entry/EntryShardFactory.java
+++ b/entry/src/main/java/io/lentilstream/entry/EntryShardFactory.java
@@ -2,12 +2,12 @@
 
 import java.util.function.Supplier;
 
+import io.lentilstream.clients.WorkerClient;
 import io.lentilstream.entry.records.RecordShardDriver;
 import io.lentilstream.entry.shards.OwnedShards;
 import io.lentilstream.entry.tasks.TaskShardDriver;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.ShardId;
-import io.lentilstream.platform.WorkerClient;
 import io.lentilstream.requests.records.RequestRecordSettings;
 import io.lentilstream.requests.records.RequestRecords;
 import io.lentilstream.shards.log.ShardLog;
--- a/entry/src/main/java/io/lentilstream/entry/directory/DirectoryDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/directory/DirectoryDriver.java
@@ -8,9 +8,9 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 
+import io.lentilstream.clients.VmDirectory;
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.model.AvailabilityZoneId;
-import io.lentilstream.platform.VmDirectory;
-import io.lentilstream.platform.VmEntry;
 
 /**
  * Reads the list of VMs of each zone in turn and passes it on. An answer that does not
--- a/entry/src/main/java/io/lentilstream/entry/directory/EndpointPool.java
+++ b/entry/src/main/java/io/lentilstream/entry/directory/EndpointPool.java
@@ -10,10 +10,10 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.entry.shards.ShardMap;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.ShardId;
-import io.lentilstream.platform.VmEntry;
 import io.lentilstream.requests.OwnedEndpoint;
 import io.lentilstream.requests.ServiceKey;
 
--- a/entry/src/main/java/io/lentilstream/entry/directory/SlotCounts.java
+++ b/entry/src/main/java/io/lentilstream/entry/directory/SlotCounts.java
@@ -5,9 +5,9 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.VmEntry;
 
 /**
  * Counts the listed slots of each team over all zones, so that a quota in slots can be
--- a/entry/src/main/java/io/lentilstream/entry/http/SettingsRoutes.java
+++ b/entry/src/main/java/io/lentilstream/entry/http/SettingsRoutes.java
@@ -25,10 +25,10 @@
 import io.lentilstream.administration.Difference;
 import io.lentilstream.administration.QueryOutcome;
 import io.lentilstream.administration.SettingsAdministrator;
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.membership.InForceReport;
 import io.lentilstream.model.Identifiers;
 import io.lentilstream.model.Revision;
-import io.lentilstream.platform.StoreKey;
 
 /**
  * Serves changes and queries of settings under {@code /admin}.
--- a/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/peers/PeerDriver.java
@@ -9,6 +9,7 @@
 
 import com.google.common.flogger.FluentLogger;
 
+import io.lentilstream.clients.StoreClient;
 import io.lentilstream.membership.LocalState;
 import io.lentilstream.membership.MembershipAction;
 import io.lentilstream.membership.PeerState;
@@ -18,7 +19,6 @@
 import io.lentilstream.model.MonotonicClock;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.StoreClient;
 import io.lentilstream.wire.LocalPeer;
 import io.lentilstream.wire.PeerFrame;
 import io.lentilstream.wire.PeerListener;
--- a/entry/src/main/java/io/lentilstream/entry/records/RecordShardDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/records/RecordShardDriver.java
@@ -18,6 +18,10 @@
 
 import com.google.common.flogger.FluentLogger;
 
+import io.lentilstream.clients.EndpointClient;
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.EndpointRequest;
+import io.lentilstream.clients.StoreClient;
 import io.lentilstream.entry.requests.RequestDriver;
 import io.lentilstream.entry.requests.RequestIds;
 import io.lentilstream.entry.requests.Slot;
@@ -34,10 +38,6 @@
 import io.lentilstream.model.RequestOutcome;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.Urgency;
-import io.lentilstream.platform.EndpointClient;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.EndpointRequest;
-import io.lentilstream.platform.StoreClient;
 import io.lentilstream.requests.IncomingRequest;
 import io.lentilstream.requests.records.RecordAction;
 import io.lentilstream.requests.records.RecordKey;
--- a/entry/src/main/java/io/lentilstream/entry/requests/Slot.java
+++ b/entry/src/main/java/io/lentilstream/entry/requests/Slot.java
@@ -1,6 +1,6 @@
 package io.lentilstream.entry.requests;
 
-import io.lentilstream.platform.EndpointOutcome;
+import io.lentilstream.clients.EndpointOutcome;
 
 /**
  * Is a slot of an endpoint that is taken for one attempt.
--- a/entry/src/main/java/io/lentilstream/entry/settings/SettingsInForce.java
+++ b/entry/src/main/java/io/lentilstream/entry/settings/SettingsInForce.java
@@ -10,6 +10,7 @@
 
 import io.lentilstream.administration.DocumentCodec;
 import io.lentilstream.administration.DocumentOutcome;
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.entry.records.WorkKind;
 import io.lentilstream.entry.records.WorkKindDirectory;
 import io.lentilstream.entry.requests.ServiceDirectory;
@@ -22,7 +23,6 @@
 import io.lentilstream.model.Revision;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
-import io.lentilstream.platform.StoreKey;
 import io.lentilstream.requests.ServiceKey;
 import io.lentilstream.requests.ServicePolicy;
 import io.lentilstream.settings.schema.KindSettings;
--- a/entry/src/main/java/io/lentilstream/entry/shards/LogDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/LogDriver.java
@@ -10,10 +10,10 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Supplier;
 
+import io.lentilstream.clients.StoreClient;
 import io.lentilstream.entry.timer.WakeUpTimer;
 import io.lentilstream.model.MonotonicClock;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.StoreClient;
 import io.lentilstream.shards.log.LogAction;
 import io.lentilstream.shards.log.ShardLog;
 
--- a/entry/src/main/java/io/lentilstream/entry/shards/OwnershipDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/OwnershipDriver.java
@@ -10,13 +10,13 @@
 
 import com.google.common.flogger.FluentLogger;
 
+import io.lentilstream.clients.StoreClient;
 import io.lentilstream.entry.timer.WakeUpTimer;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicClock;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.StoreClient;
 import io.lentilstream.shards.ownership.OwnershipAction;
 import io.lentilstream.shards.ownership.ShardOwnership;
 
--- a/entry/src/main/java/io/lentilstream/entry/shards/ShardCountCheck.java
+++ b/entry/src/main/java/io/lentilstream/entry/shards/ShardCountCheck.java
@@ -4,12 +4,12 @@
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WriteOutcome;
 
 /**
  * Makes sure that all entry VMs split a scope into the same number of shards. With
--- a/entry/src/main/java/io/lentilstream/entry/tasks/TaskShardDriver.java
+++ b/entry/src/main/java/io/lentilstream/entry/tasks/TaskShardDriver.java
@@ -17,6 +17,9 @@
 
 import com.google.common.flogger.FluentLogger;
 
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.WorkerClient;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.entry.shards.LogDriver;
 import io.lentilstream.entry.shards.LogListener;
 import io.lentilstream.model.Epoch;
@@ -25,9 +28,6 @@
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.WorkerClient;
-import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.shards.log.ShardLog;
 import io.lentilstream.tasks.JobAnswer;
 import io.lentilstream.tasks.JobRefusal;
--- a/entry/src/test/java/io/lentilstream/entry/directory/EndpointPoolTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/directory/EndpointPoolTests.java
@@ -9,6 +9,7 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.entry.shards.ShardMap;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.EndpointId;
@@ -18,7 +19,6 @@
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.VmEntry;
 import io.lentilstream.requests.OwnedEndpoint;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/entry/src/test/java/io/lentilstream/entry/fakes/FakeEndpoints.java
+++ b/entry/src/test/java/io/lentilstream/entry/fakes/FakeEndpoints.java
@@ -6,13 +6,13 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
 
+import io.lentilstream.clients.EndpointClient;
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.EndpointRequest;
+import io.lentilstream.clients.KeyOutcome;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.IdempotencyKey;
 import io.lentilstream.model.RequestId;
-import io.lentilstream.platform.EndpointClient;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.EndpointRequest;
-import io.lentilstream.platform.KeyOutcome;
 
 /**
  * Answers attempts as a test says, and remembers them.
--- a/entry/src/test/java/io/lentilstream/entry/records/RecordShardDriverTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/records/RecordShardDriverTests.java
@@ -10,6 +10,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.KeyOutcome;
 import io.lentilstream.entry.fakes.FakeEndpoints;
 import io.lentilstream.entry.fakes.FakeStore;
 import io.lentilstream.entry.fakes.ManualTimers;
@@ -27,8 +29,6 @@
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.KeyOutcome;
 import io.lentilstream.requests.OwnedEndpoint;
 import io.lentilstream.requests.RequestDefaults;
 import io.lentilstream.requests.RequestScheduler;
--- a/entry/src/test/java/io/lentilstream/entry/requests/RequestDriverTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/requests/RequestDriverTests.java
@@ -11,6 +11,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.KeyOutcome;
 import io.lentilstream.entry.fakes.FakeEndpoints;
 import io.lentilstream.entry.fakes.ManualTimers;
 import io.lentilstream.model.EndpointId;
@@ -22,8 +24,6 @@
 import io.lentilstream.model.ServiceName;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.KeyOutcome;
 import io.lentilstream.requests.IncomingRequest;
 import io.lentilstream.requests.OwnedEndpoint;
 import io.lentilstream.requests.RequestDefaults;
--- a/entry/src/test/java/io/lentilstream/entry/settings/SettingsInForceTests.java
+++ b/entry/src/test/java/io/lentilstream/entry/settings/SettingsInForceTests.java
@@ -8,13 +8,13 @@
 
 import io.lentilstream.administration.DocumentCodec;
 import io.lentilstream.administration.StoredDocument;
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.membership.SettingsDocument;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.KindName;
 import io.lentilstream.model.Revision;
 import io.lentilstream.model.ServiceName;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.StoreKey;
 import io.lentilstream.requests.ServiceKey;
 import io.lentilstream.wire.PeerMessage;
 
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/OrderAnswer.java
@@ -0,0 +1,64 @@
+package io.lentilstream.jobs;
+
+/**
+ * The outcome of an order to a VM.
+ */
+public sealed interface OrderAnswer {
+
+	/**
+	 * The VM has carried out the order.
+	 *
+	 * @param clockMillis the VM's steady clock, in milliseconds
+	 */
+	record Done(long clockMillis) implements OrderAnswer {
+	}
+
+	/**
+	 * The VM has done nothing.
+	 *
+	 * @param reason why
+	 */
+	record Refused(Refusal reason) implements OrderAnswer {
+	}
+
+	/**
+	 * There was no answer; the order may have been carried out, or may be later.
+	 */
+	record Unknown() implements OrderAnswer {
+	}
+
+	/**
+	 * The reasons for refusals.
+	 */
+	enum Refusal {
+
+		/** A newer scheduler has given orders to this VM. */
+		FENCED,
+
+		/** A run with this number or a higher one has ended there. */
+		OUTDATED_RUN,
+
+		/** The order came after its deadline. */
+		TOO_LATE,
+
+		/** There is no room for the task. */
+		NO_ROOM,
+
+		/** The advice that allows the start is missing or has expired. */
+		NO_ADVICE,
+
+		/** The VM is not healthy. */
+		UNHEALTHY,
+
+		/** Another incarnation answers at this address. */
+		OTHER_INCARNATION,
+
+		/** The order could not be sent; it cannot take effect. */
+		NOT_SENT,
+
+		/** The VM did not understand the order. */
+		INVALID
+
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/TaskReport.java
@@ -0,0 +1,40 @@
+package io.lentilstream.jobs;
+
+import java.util.List;
+
+/**
+ * Is what a VM reports of its tasks.
+ *
+ * @param bornMillis start of the reporting incarnation, in milliseconds since 1970
+ * @param clockMillis the VM's steady clock, in milliseconds
+ * @param running the runs at work
+ * @param ended the ends that were not acknowledged yet, in order
+ */
+public record TaskReport(long bornMillis, long clockMillis, List<Running> running, List<Ended> ended) {
+
+	/**
+	 * Is a run at work.
+	 *
+	 * @param task the task
+	 * @param run the number of the run
+	 * @param checkpoint the latest checkpoint; empty if there is none
+	 * @param percent progress; for a long-running task 100 when it is at work
+	 * @param figure tail of the response times in milliseconds for a task that serves,
+	 * else thousandths of a core in use
+	 */
+	public record Running(TaskName task, int run, String checkpoint, int percent, double figure) {
+	}
+
+	/**
+	 * Is a run that has ended.
+	 *
+	 * @param number the number of the end, from 1 in each incarnation
+	 * @param task the task
+	 * @param run the number of the run
+	 * @param how how it ended
+	 * @param checkpoint the latest checkpoint; empty if there is none
+	 */
+	public record Ended(long number, TaskName task, int run, RunEnd how, String checkpoint) {
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
@@ -0,0 +1,100 @@
+package io.lentilstream.jobs.codec;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+import io.lentilstream.jobs.JobProgress;
+import io.lentilstream.jobs.JobProgress.TaskProgress;
+import io.lentilstream.jobs.JobState;
+import io.lentilstream.model.JobId;
+
+/**
+ * Encodes progress as MessagePack arrays.
+ */
+public final class ProgressCodec {
+
+	private static final int VERSION = 1;
+
+	private static final int FIELDS = 5;
+
+	private static final int TASK_FIELDS = 7;
+
+	private ProgressCodec() {
+	}
+
+	/**
+	 * Encodes progress.
+	 * @param progress the progress
+	 * @return the bytes
+	 */
+	public static byte[] encode(JobProgress progress) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(FIELDS);
+			packer.packInt(VERSION);
+			packer.packInt(progress.state().ordinal());
+			packer.packLong(progress.endedAtMillis());
+			packer.packArrayHeader(progress.completedOccurrences().size());
+			for (int occurrence : progress.completedOccurrences()) {
+				packer.packInt(occurrence);
+			}
+			packer.packArrayHeader(progress.tasks().size() * TASK_FIELDS);
+			for (TaskProgress task : progress.tasks()) {
+				packer.packInt(task.occurrence());
+				packer.packInt(task.step());
+				packer.packInt(task.index());
+				packer.packBoolean(task.done());
+				packer.packInt(task.failures());
+				packer.packInt(task.lastRun());
+				packer.packString(task.checkpoint());
+			}
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a buffer in memory failed", ex);
+		}
+	}
+
+	/**
+	 * Decodes progress.
+	 * @param job the job under whose id the bytes are stored
+	 * @param bytes the bytes
+	 * @return the progress
+	 * @throws DecodeException if the bytes are not progress
+	 */
+	public static JobProgress decode(JobId job, byte[] bytes) throws DecodeException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			int fields = unpacker.unpackArrayHeader();
+			int version = unpacker.unpackInt();
+			if (fields != FIELDS || version != VERSION) {
+				throw new DecodeException("progress of version " + version, null);
+			}
+			int ordinal = unpacker.unpackInt();
+			if (ordinal < 0 || ordinal >= JobState.values().length) {
+				throw new DecodeException("progress with state " + ordinal, null);
+			}
+			long endedAt = unpacker.unpackLong();
+			int completed = unpacker.unpackArrayHeader();
+			List<Integer> occurrences = new ArrayList<>();
+			for (int i = 0; i < completed; i++) {
+				occurrences.add(unpacker.unpackInt());
+			}
+			int count = unpacker.unpackArrayHeader() / TASK_FIELDS;
+			List<TaskProgress> tasks = new ArrayList<>();
+			for (int i = 0; i < count; i++) {
+				tasks.add(new TaskProgress(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(),
+						unpacker.unpackBoolean(), unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackString()));
+			}
+			return new JobProgress(job, JobState.values()[ordinal], endedAt, occurrences, tasks);
+		}
+		catch (IOException | MessagePackException ex) {
+			throw new DecodeException("progress cannot be read", ex);
+		}
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Encodes jobs for the store.
+ */
+package io.lentilstream.jobs.codec;
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/EndRule.java
@@ -0,0 +1,140 @@
+package io.lentilstream.jobs.scheduling;
+
+import java.util.List;
+
+import io.lentilstream.jobs.JobState;
+import io.lentilstream.jobs.RunEnd;
+
+/**
+ * Draws the conclusions from the end of a run: the task is done, starts again, or has
+ * failed as often as its queue allows.
+ */
+final class EndRule {
+
+	/** Pause before a task that ended badly starts again, in milliseconds. */
+	private static final long RESTART_PAUSE_MILLIS = 20;
+
+	private final SchedulerState state;
+
+	private final StopRule stops;
+
+	private final JobOpeningRule opening;
+
+	private final TrustRule trust;
+
+	EndRule(SchedulerState state, StopRule stops, JobOpeningRule opening, TrustRule trust) {
+		this.state = state;
+		this.stops = stops;
+		this.opening = opening;
+		this.trust = trust;
+	}
+
+	/**
+	 * Takes in the end of a run that the VM reported.
+	 * @param task the task
+	 * @param run the run; {@code null} if this scheduler did not know it
+	 * @param worker the VM
+	 * @param how how it ended
+	 * @param checkpoint the latest checkpoint; empty if there is none
+	 * @param now the current time in milliseconds
+	 */
+	void ended(Task task, Run run, Worker worker, RunEnd how, String checkpoint, long now) {
+		this.state.log.note("task-ended", task.name, "worker", worker, "run", (run != null) ? run.number : 0, "how",
+				how);
+		if (run != null) {
+			drop(run);
+		}
+		if (!task.job.active() || task.done) {
+			return;
+		}
+		if (!checkpoint.isEmpty()) {
+			task.checkpoint = checkpoint;
+		}
+		this.trust.ended(worker, how, now);
+		if (how == RunEnd.DONE && !task.spec().traits().longRunning()) {
+			done(task, now);
+			return;
+		}
+		if (how == RunEnd.FAILED && !task.spec().traits().longRunning()) {
+			failed(task, worker, now);
+		}
+		else if (how == RunEnd.FAILED) {
+			task.failedOn = worker.id();
+		}
+		if (task.job.active()) {
+			again(task, now);
+		}
+	}
+
+	/**
+	 * Gives up a run that certainly neither works nor will ever start.
+	 * @param run the run
+	 * @param reason why, for the log
+	 * @param now the current time in milliseconds
+	 */
+	void lost(Run run, String reason, long now) {
+		this.state.log.note("run-lost", run.task.name, "worker", run.worker, "run", run.number, "phase", run.phase,
+				"reason", reason);
+		drop(run);
+		if (!run.checkpoint.isEmpty()) {
+			run.task.checkpoint = run.checkpoint;
+		}
+		again(run.task, now);
+	}
+
+	/**
+	 * Lets a task wait for its next start if nothing of it is left.
+	 * @param task the task
+	 * @param now the current time in milliseconds
+	 */
+	void again(Task task, long now) {
+		if (task.job.active() && task.step.open && task.waiting()) {
+			task.notBefore = Math.max(task.notBefore, now + RESTART_PAUSE_MILLIS);
+			this.state.waiting.add(task);
+		}
+	}
+
+	private static void drop(Run run) {
+		run.worker.remove(run);
+		run.task.runs.remove(run);
+	}
+
+	private void done(Task task, long now) {
+		if (task.spec().traits().gang()) {
+			task.step.tasks.forEach((member) -> finish(member, now));
+		}
+		else {
+			finish(task, now);
+		}
+		this.state.changed(task.job);
+		if (task.step.complete()) {
+			this.opening.stepDone(task.job, task.step.occurrence, now);
+		}
+	}
+
+	private void finish(Task task, long now) {
+		if (task.done) {
+			return;
+		}
+		task.done = true;
+		task.step.done++;
+		this.state.waiting.remove(task);
+		if (!task.spec().traits().gang()) {
+			List.copyOf(task.runs).forEach((copy) -> this.stops.want(copy, "another copy is done", now));
+		}
+	}
+
+	private void failed(Task task, Worker worker, long now) {
+		task.failures++;
+		task.failedOn = worker.id();
+		if (task.spec().traits().gang()) {
+			task.step.tasks.forEach((member) -> member.failures = Math.max(member.failures, task.failures));
+		}
+		this.state.changed(task.job);
+		if (task.failures >= task.job.policy.maxAttempts()) {
+			this.opening.end(task.job, JobState.FAILED, "task " + task.name + " failed " + task.failures + " times",
+					now);
+		}
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -0,0 +1,431 @@
+package io.lentilstream.jobs.scheduling;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.LongSupplier;
+
+import io.lentilstream.jobs.DecisionLog;
+import io.lentilstream.jobs.JobProgress;
+import io.lentilstream.jobs.JobState;
+import io.lentilstream.jobs.JobSubmission;
+import io.lentilstream.jobs.QueuePolicy;
+import io.lentilstream.jobs.WorkerId;
+import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.WorkerOrders;
+import io.lentilstream.model.JobId;
+
+/**
+ * Drives accepted jobs on the VMs of a system, from the takeover to the next one. It is
+ * used by one thread.
+ */
+public final class JobScheduler {
+
+	private final SchedulerState state;
+
+	private final JobOpeningRule opening;
+
+	private final EndRule ends;
+
+	private final StopRule stops;
+
+	private final HoldRule holds;
+
+	private final ReportRule reports;
+
+	private final StragglerRule stragglers;
+
+	private final PlacementPass pass;
+
+	/** VMs that may run tasks of the predecessor, and until when in milliseconds. */
+	private final Map<WorkerId, Long> unsettled = new HashMap<>();
+
+	/**
+	 * Creates a scheduler without jobs and VMs.
+	 * @param settings the platform's bounds
+	 * @param orders sends orders to VMs
+	 * @param log takes a line for each decision
+	 * @param clock the steady clock, in milliseconds
+	 * @param timeOfDay the time of day, in milliseconds since 1970
+	 * @param runFloor run numbers will be above this one; must be above those of all
+	 * predecessors
+	 */
+	public JobScheduler(SchedulerSettings settings, WorkerOrders orders, DecisionLog log, LongSupplier clock,
+			LongSupplier timeOfDay, int runFloor) {
+		this.state = new SchedulerState(settings, orders, log, clock, runFloor);
+		this.stops = new StopRule(this.state);
+		this.opening = new JobOpeningRule(this.state, this.stops, timeOfDay);
+		TrustRule trust = new TrustRule(this.state);
+		PlacementRule placement = new PlacementRule();
+		this.ends = new EndRule(this.state, this.stops, this.opening, trust);
+		StartRule starts = new StartRule(this.state, this.ends, trust);
+		this.reports = new ReportRule(this.state, starts, this.ends, this.stops, new PacingRule(this.state));
+		this.holds = new HoldRule(this.state, this.reports, this.ends);
+		this.stragglers = new StragglerRule(this.state, this.stops, starts, trust, placement);
+		this.pass = new PlacementPass(this.state, placement, starts);
+	}
+
+	/**
+	 * Takes in a stored job at the takeover.
+	 * @param submission the job
+	 * @param progress its stored progress, if any
+	 */
+	public void load(JobSubmission submission, Optional<JobProgress> progress) {
+		long now = this.state.now();
+		Job job = new Job(submission, now);
+		this.state.jobs.put(job.id(), job);
+		progress.ifPresent((stored) -> restore(job, stored));
+		if (!job.active()) {
+			return;
+		}
+		this.opening.openDue(job, now);
+		for (Integer occurrence : List.copyOf(job.occurrences.keySet())) {
+			settleStored(job, occurrence, now);
+		}
+	}
+
+	private void restore(Job job, JobProgress stored) {
+		job.state = stored.state();
+		job.storedState = stored.state();
+		job.endedAtMillis = stored.endedAtMillis();
+		job.completedOccurrences.addAll(stored.completedOccurrences());
+		for (JobProgress.TaskProgress known : stored.tasks()) {
+			if (!job.occurrences.containsKey(known.occurrence())
+					&& !job.completedOccurrences.contains(known.occurrence())) {
+				job.openOccurrence(known.occurrence());
+			}
+			Task task = job.find(known.occurrence(), known.step(), known.index());
+			if (task == null) {
+				continue;
+			}
+			task.done = known.done();
+			task.step.done += known.done() ? 1 : 0;
+			task.failures = known.failures();
+			task.lastRun = known.lastRun();
+			task.checkpoint = known.checkpoint();
+		}
+		job.nextOccurrence = 0;
+	}
+
+	private void settleStored(Job job, int occurrence, long now) {
+		List<StepState> steps = job.occurrences.get(occurrence);
+		for (StepState step : steps) {
+			for (Task task : step.tasks) {
+				task.unsettled = !task.done;
+			}
+		}
+		this.opening.openSteps(job, occurrence, now);
+		if (steps.stream().allMatch(StepState::complete)) {
+			this.opening.stepDone(job, occurrence, now);
+		}
+		this.state.waiting.removeIf((task) -> task.unsettled);
+	}
+
+	/**
+	 * Begins to give orders after the stored jobs were loaded.
+	 * @param predecessorWorkers the VMs to which the predecessor may have given orders
+	 */
+	public void begin(Collection<WorkerListing> predecessorWorkers) {
+		long now = this.state.now();
+		SchedulerSettings settings = this.state.settings;
+		long settledBy = now + settings.predecessorMillis() + settings.maxLeaseMillis() * 21 / 20;
+		for (WorkerListing listing : predecessorWorkers) {
+			this.unsettled.put(listing.id(), settledBy);
+			if (!this.state.workers.containsKey(listing.id())) {
+				Worker worker = new Worker(listing, now);
+				worker.unlistedSince = now;
+				this.state.workers.put(listing.id(), worker);
+			}
+		}
+		tick();
+	}
+
+	/**
+	 * Takes in a new job.
+	 * @param submission the job
+	 */
+	public void submit(JobSubmission submission) {
+		if (this.state.jobs.containsKey(submission.id())) {
+			return;
+		}
+		long now = this.state.now();
+		Job job = new Job(submission, now);
+		this.state.jobs.put(job.id(), job);
+		this.state.log.note("job-learnt", job.id(), "queue", submission.queue(), "steps", submission.steps().size(),
+				"waiting", this.state.waiting.size());
+		this.opening.openDue(job, now);
+	}
+
+	/**
+	 * Cancels a job.
+	 * @param id the id
+	 */
+	public void cancel(JobId id) {
+		Job job = this.state.jobs.get(id);
+		if (job != null) {
+			this.opening.end(job, JobState.CANCELLED, "cancelled by its caller", this.state.now());
+		}
+	}
+
+	/**
+	 * Forgets a job that has ended.
+	 * @param id the id
+	 */
+	public void forget(JobId id) {
+		this.state.jobs.remove(id);
+	}
+
+	/**
+	 * Takes in an entry of the list of VMs.
+	 * @param listing the entry
+	 */
+	public void list(WorkerListing listing) {
+		long now = this.state.now();
+		Worker worker = this.state.workers.get(listing.id());
+		if (worker == null) {
+			this.state.workers.put(listing.id(), new Worker(listing, now));
+			this.state.log.note("worker-listed", listing.id(), "address", listing.address(), "zone", listing.zone(),
+					"draining", listing.draining());
+			return;
+		}
+		if (listing.draining() != worker.listing.draining()) {
+			this.state.log.note("worker-draining", listing.id(), "draining", listing.draining());
+		}
+		if (listing.bornMillis() < worker.bornMillis()) {
+			return;
+		}
+		worker.listing = listing;
+		worker.unlistedSince = -1;
+		if (listing.bornMillis() > worker.bornMillis()) {
+			this.reports.reborn(worker, listing.bornMillis(), now);
+		}
+	}
+
+	/**
+	 * Notes that a VM is not in the list any more.
+	 * @param id the id
+	 */
+	public void unlist(WorkerId id) {
+		Worker worker = this.state.workers.get(id);
+		if (worker != null && worker.unlistedSince < 0) {
+			worker.unlistedSince = this.state.now();
+			this.state.log.note("worker-unlisted", id, "runs", worker.runs.size());
+		}
+	}
+
+	/**
+	 * Replaces the policies of the queues.
+	 * @param policies the policies by the name of the queue
+	 */
+	public void policies(Map<String, QueuePolicy> policies) {
+		for (Job job : this.state.jobs.values()) {
+			QueuePolicy policy = policies.get(job.submission.queue());
+			if (policy != null && job.active() && !policy.equals(job.policy)) {
+				List<Task> waiting = this.state.waiting.stream().filter((task) -> task.job == job).toList();
+				waiting.forEach(this.state.waiting::remove);
+				job.policy = policy;
+				this.state.waiting.addAll(waiting);
+			}
+		}
+	}
+
+	/**
+	 * Does what is due. Is to be called after events and every few milliseconds.
+	 */
+	public void tick() {
+		long now = this.state.now();
+		settle(now);
+		Iterator<Worker> workers = this.state.workers.values().iterator();
+		while (workers.hasNext()) {
+			Worker worker = workers.next();
+			this.holds.holdIfDue(worker, now);
+			this.holds.lapseIfPassed(worker, now);
+			worker.runs.values().forEach((run) -> this.stops.sendIfDue(run, now));
+			if (gone(worker, now)) {
+				workers.remove();
+				this.state.log.note("worker-gone", worker);
+			}
+		}
+		this.pass.run(now);
+	}
+
+	/**
+	 * Looks for due occurrences and stragglers. Is to be called a few times a second.
+	 */
+	public void review() {
+		long now = this.state.now();
+		for (Job job : List.copyOf(this.state.jobs.values())) {
+			if (job.active() && job.nextOccurrence < job.submission.schedule().occurrences()) {
+				this.opening.openDue(job, now);
+			}
+		}
+		for (Worker worker : this.state.workers.values()) {
+			this.stragglers.review(worker, now);
+		}
+	}
+
+	private void settle(long now) {
+		if (this.unsettled.isEmpty()) {
+			return;
+		}
+		this.unsettled.entrySet().removeIf((entry) -> {
+			Worker worker = this.state.workers.get(entry.getKey());
+			return worker == null || worker.opened || now > entry.getValue();
+		});
+		if (this.unsettled.isEmpty()) {
+			this.state.log.note("takeover-settled", "scheduler", "workers", this.state.workers.size());
+			this.state.jobs.values().forEach((job) -> settled(job, now));
+		}
+	}
+
+	private void settled(Job job, long now) {
+		for (List<StepState> steps : job.occurrences.values()) {
+			for (StepState step : steps) {
+				for (Task task : step.tasks) {
+					task.unsettled = false;
+					this.ends.again(task, now);
+				}
+			}
+		}
+	}
+
+	private boolean gone(Worker worker, long now) {
+		return worker.unlistedSince >= 0 && worker.runs.isEmpty() && worker.silent > 0
+				&& now - Math.max(worker.answeredAt, worker.unlistedSince) > 2 * this.state.settings.maxLeaseMillis();
+	}
+
+	/**
+	 * Tells whether a newer scheduler gives orders to the VMs.
+	 * @return {@code true} if this scheduler must end
+	 */
+	public boolean fenced() {
+		return this.state.fenced;
+	}
+
+	/**
+	 * Tells whether a change waits to be stored.
+	 * @return {@code true} if {@link #takeChanges} has something to return
+	 */
+	public boolean hasChanges() {
+		return !this.state.changed.isEmpty();
+	}
+
+	/**
+	 * Tells whether a change waits that a caller may be waiting for.
+	 * @return {@code true} if it should be stored at once
+	 */
+	public boolean hasUrgentChanges() {
+		return this.state.urgentChange;
+	}
+
+	/**
+	 * Hands out changes to be stored; jobs that have ended come first.
+	 * @param most the largest number of changes
+	 * @return the changes
+	 */
+	public List<Change> takeChanges(int most) {
+		List<Job> jobs = new ArrayList<>(this.state.changed);
+		jobs.sort((first, second) -> Boolean.compare(first.active(), second.active()));
+		List<Change> changes = new ArrayList<>();
+		for (Job job : jobs.subList(0, Math.min(most, jobs.size()))) {
+			this.state.changed.remove(job);
+			changes.add(new Change(job.progress(), job.version));
+		}
+		this.state.urgentChange = this.state.changed.stream().anyMatch((job) -> !job.active());
+		return changes;
+	}
+
+	/**
+	 * Notes that a change is stored.
+	 * @param change the change
+	 */
+	public void stored(Change change) {
+		Job job = this.state.jobs.get(change.progress().job());
+		if (job == null) {
+			return;
+		}
+		job.storedVersion = Math.max(job.storedVersion, change.version());
+		if (change.progress().state().ended()) {
+			job.storedState = change.progress().state();
+		}
+	}
+
+	/**
+	 * Notes that a change could not be stored and has to be handed out again.
+	 * @param change the change
+	 */
+	public void notStored(Change change) {
+		Job job = this.state.jobs.get(change.progress().job());
+		if (job != null && job.storedVersion < change.version()) {
+			this.state.changed.add(job);
+			this.state.urgentChange |= !job.active();
+		}
+	}
+
+	/**
+	 * Returns the state of a job that callers may be told.
+	 * @param id the id
+	 * @return the state, or empty if the job is not known here
+	 */
+	public Optional<JobState> state(JobId id) {
+		Job job = this.state.jobs.get(id);
+		if (job == null) {
+			return Optional.empty();
+		}
+		return Optional.of(job.storedState.ended() ? job.storedState : visible(job));
+	}
+
+	private static JobState visible(Job job) {
+		return job.begun() ? JobState.RUNNING : JobState.QUEUED;
+	}
+
+	/**
+	 * Counts the jobs of a queue of which no task has started.
+	 * @param queue the name of the queue
+	 * @return the number of jobs
+	 */
+	public int pending(String queue) {
+		int count = 0;
+		for (Job job : this.state.jobs.values()) {
+			if (job.state == JobState.QUEUED && job.submission.queue().equals(queue)) {
+				count++;
+			}
+		}
+		return count;
+	}
+
+	/**
+	 * Returns the jobs that ended before a time and whose end is stored.
+	 * @param before time of day in milliseconds since 1970
+	 * @return the ids
+	 */
+	public List<JobId> endedBefore(long before) {
+		return this.state.jobs.values()
+			.stream()
+			.filter((job) -> job.storedState.ended() && job.endedAtMillis < before)
+			.map(Job::id)
+			.toList();
+	}
+
+	/**
+	 * Returns the VMs that this scheduler knows.
+	 * @return their latest listings
+	 */
+	public List<WorkerListing> workers() {
+		return this.state.workers.values().stream().map((worker) -> worker.listing).toList();
+	}
+
+	/**
+	 * Is a change of a job that has to be stored.
+	 *
+	 * @param progress the progress to store
+	 * @param version the version of the progress
+	 */
+	public record Change(JobProgress progress, long version) {
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -0,0 +1,126 @@
+package io.lentilstream.jobs.scheduling;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * Goes through the waiting tasks in order and starts what fits. A step that does not fit
+ * is passed over, so that smaller work behind it is not held up; the members of a gang
+ * start together or not at all.
+ */
+final class PlacementPass {
+
+	/** Steps without room after which a pass ends. */
+	private static final int GIVE_UP_AFTER = 60;
+
+	private static final String ANY_RACK = "";
+
+	private final SchedulerState state;
+
+	private final PlacementRule placement;
+
+	private final StartRule starts;
+
+	PlacementPass(SchedulerState state, PlacementRule placement, StartRule starts) {
+		this.state = state;
+		this.placement = placement;
+		this.starts = starts;
+	}
+
+	/**
+	 * Starts what can be started.
+	 * @param now the current time in milliseconds
+	 */
+	void run(long now) {
+		Set<StepState> full = new HashSet<>();
+		for (Task task : List.copyOf(this.state.waiting)) {
+			if (full.contains(task.step) || task.notBefore > now || !this.state.waiting.contains(task)) {
+				continue;
+			}
+			boolean started = task.spec().traits().gang() ? startGang(task.step, now) : start(task, now);
+			if (!started) {
+				full.add(task.step);
+				if (full.size() >= GIVE_UP_AFTER) {
+					return;
+				}
+			}
+		}
+	}
+
+	private boolean start(Task task, long now) {
+		String rack = task.spec().placement().sameRack() ? rackOf(task.step) : ANY_RACK;
+		Worker worker = this.placement.choose(task, this.state.workers.values(), rack, now);
+		if (worker == null && !rack.isEmpty()) {
+			worker = this.placement.choose(task, this.state.workers.values(), ANY_RACK, now);
+		}
+		if (worker == null) {
+			return false;
+		}
+		this.starts.start(task, worker, this.starts.nextRun(task), now);
+		return true;
+	}
+
+	private static String rackOf(StepState step) {
+		for (Task task : step.tasks) {
+			if (!task.runs.isEmpty()) {
+				return task.runs.get(0).worker.listing.rack();
+			}
+		}
+		return ANY_RACK;
+	}
+
+	private boolean startGang(StepState step, long now) {
+		if (!step.tasks.stream().allMatch((task) -> task.waiting() && task.notBefore <= now)) {
+			return false;
+		}
+		Map<Task, Worker> places = Map.of();
+		if (step.spec.placement().sameRack()) {
+			for (String rack : racks()) {
+				places = place(step, rack, now);
+				if (!places.isEmpty()) {
+					break;
+				}
+			}
+		}
+		if (places.isEmpty()) {
+			places = place(step, ANY_RACK, now);
+		}
+		int number = step.tasks.stream().mapToInt(this.starts::nextRun).max().orElse(0);
+		for (Map.Entry<Task, Worker> place : places.entrySet()) {
+			this.starts.start(place.getKey(), place.getValue(), number, now);
+		}
+		return !places.isEmpty();
+	}
+
+	private Set<String> racks() {
+		Set<String> racks = new LinkedHashSet<>();
+		this.state.workers.values().forEach((worker) -> racks.add(worker.listing.rack()));
+		racks.remove(ANY_RACK);
+		return racks;
+	}
+
+	// Reserves as it goes, so that two members do not count the same room.
+	private Map<Task, Worker> place(StepState step, String rack, long now) {
+		Map<Task, Worker> places = new LinkedHashMap<>();
+		List<Run> reserved = new ArrayList<>();
+		for (Task task : step.tasks) {
+			Worker worker = this.placement.choose(task, this.state.workers.values(), rack, now);
+			if (worker == null) {
+				places.clear();
+				break;
+			}
+			Run run = new Run(task, 0, worker, now);
+			worker.add(run);
+			reserved.add(run);
+			places.put(task, worker);
+		}
+		reserved.forEach((run) -> run.worker.remove(run));
+		return places;
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
@@ -0,0 +1,13 @@
+package io.lentilstream.jobs.scheduling;
+
+/**
+ * Holds the bounds that the platform sets for orders to VMs.
+ *
+ * @param maxLeaseMillis longest lease that a VM grants, in milliseconds
+ * @param remoteFactor how many times longer a task takes away from its data
+ * @param harmMillis how long a serving task may be over its target, in milliseconds
+ * @param predecessorMillis how long a predecessor may go on extending leases after a
+ * takeover, in milliseconds
+ */
+public record SchedulerSettings(long maxLeaseMillis, double remoteFactor, long harmMillis, long predecessorMillis) {
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -0,0 +1,69 @@
+package io.lentilstream.jobs.scheduling;
+
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.TreeSet;
+import java.util.function.LongSupplier;
+
+import io.lentilstream.jobs.DecisionLog;
+import io.lentilstream.jobs.TaskName;
+import io.lentilstream.jobs.WorkerId;
+import io.lentilstream.jobs.WorkerOrders;
+import io.lentilstream.model.JobId;
+
+/**
+ * What the rules of one scheduler share.
+ */
+final class SchedulerState {
+
+	final SchedulerSettings settings;
+
+	final WorkerOrders orders;
+
+	final DecisionLog log;
+
+	/** Steady clock of this process, in milliseconds. */
+	final LongSupplier clock;
+
+	/** Run numbers of this scheduler are above this one. */
+	final int runFloor;
+
+	final Map<JobId, Job> jobs = new LinkedHashMap<>();
+
+	final Map<WorkerId, Worker> workers = new LinkedHashMap<>();
+
+	final TreeSet<Task> waiting = new TreeSet<>(new WaitingOrder());
+
+	/** Jobs with changes that are not handed out for storing. */
+	final LinkedHashSet<Job> changed = new LinkedHashSet<>();
+
+	/** Whether a change waits that callers are waiting for. */
+	boolean urgentChange;
+
+	/** Whether a VM has taken orders from a newer scheduler. */
+	boolean fenced;
+
+	SchedulerState(SchedulerSettings settings, WorkerOrders orders, DecisionLog log, LongSupplier clock, int runFloor) {
+		this.settings = settings;
+		this.orders = orders;
+		this.log = log;
+		this.clock = clock;
+		this.runFloor = runFloor;
+	}
+
+	long now() {
+		return this.clock.getAsLong();
+	}
+
+	Task find(TaskName name) {
+		Job job = this.jobs.get(name.job());
+		return (job != null) ? job.find(name.occurrence(), name.step(), name.index()) : null;
+	}
+
+	void changed(Job job) {
+		job.version++;
+		this.changed.add(job);
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -0,0 +1,57 @@
+package io.lentilstream.jobs.scheduling;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.jobs.TaskName;
+import io.lentilstream.jobs.WorkerId;
+
+/**
+ * A task of an accepted job.
+ */
+final class Task {
+
+	final Job job;
+
+	final StepState step;
+
+	final TaskName name;
+
+	boolean done;
+
+	int failures;
+
+	int lastRun;
+
+	String checkpoint = "";
+
+	/** The VM where the latest run failed, which the next run avoids. */
+	WorkerId failedOn;
+
+	/** Whether a run from before the takeover may be at work somewhere. */
+	boolean unsettled;
+
+	/** Earliest time of the next start, in milliseconds. */
+	long notBefore;
+
+	/** Key of the waiting order: the time by which the task should start. */
+	long dueAt;
+
+	final List<Run> runs = new ArrayList<>(1);
+
+	Task(Job job, StepState step, int index) {
+		this.job = job;
+		this.step = step;
+		this.name = new TaskName(job.id(), step.occurrence, step.number, index);
+	}
+
+	StepSpec spec() {
+		return this.step.spec;
+	}
+
+	boolean waiting() {
+		return !this.done && !this.unsettled && this.runs.isEmpty();
+	}
+
+}
--- a/membership/src/main/java/io/lentilstream/membership/DocumentFormat.java
+++ b/membership/src/main/java/io/lentilstream/membership/DocumentFormat.java
@@ -2,7 +2,7 @@
 
 import java.util.Optional;
 
-import io.lentilstream.platform.StoreKey;
+import io.lentilstream.clients.StoreKey;
 
 /**
  * Reads the bytes of a settings document, from the store or from a peer.
--- a/membership/src/main/java/io/lentilstream/membership/DocumentSet.java
+++ b/membership/src/main/java/io/lentilstream/membership/DocumentSet.java
@@ -11,8 +11,8 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.model.Revision;
-import io.lentilstream.platform.StoreKey;
 import io.lentilstream.wire.SettingsDigest;
 
 /**
--- a/membership/src/main/java/io/lentilstream/membership/MembershipAction.java
+++ b/membership/src/main/java/io/lentilstream/membership/MembershipAction.java
@@ -2,8 +2,8 @@
 
 import java.time.Duration;
 
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.StoreKey;
 import io.lentilstream.wire.PeerMessage;
 
 /**
--- a/membership/src/main/java/io/lentilstream/membership/PeerView.java
+++ b/membership/src/main/java/io/lentilstream/membership/PeerView.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.TreeMap;
 
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.membership.MembershipAction.Connect;
 import io.lentilstream.membership.MembershipAction.Disconnect;
 import io.lentilstream.membership.MembershipAction.PeerChanged;
@@ -18,7 +19,6 @@
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.VmEntry;
 import io.lentilstream.wire.LocalPeer;
 import io.lentilstream.wire.PeerMessage.Goodbye;
 import io.lentilstream.wire.PeerMessage.Heartbeat;
--- a/membership/src/main/java/io/lentilstream/membership/SettingsDocument.java
+++ b/membership/src/main/java/io/lentilstream/membership/SettingsDocument.java
@@ -1,7 +1,7 @@
 package io.lentilstream.membership;
 
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.model.Revision;
-import io.lentilstream.platform.StoreKey;
 import io.lentilstream.wire.PeerMessage.Bytes;
 
 /**
--- a/membership/src/main/java/io/lentilstream/membership/StoreWatch.java
+++ b/membership/src/main/java/io/lentilstream/membership/StoreWatch.java
@@ -4,10 +4,10 @@
 import java.util.Optional;
 import java.util.random.RandomGenerator;
 
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.membership.MembershipAction.ListStore;
 import io.lentilstream.membership.MembershipAction.WatchStore;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.StoreKey;
 
 /**
  * Decides when one prefix of the store is listed and watched. At most one call is
--- a/membership/src/test/java/io/lentilstream/membership/Cluster.java
+++ b/membership/src/test/java/io/lentilstream/membership/Cluster.java
@@ -12,14 +12,14 @@
 import java.util.Set;
 import java.util.TreeMap;
 
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WatchOutcome;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Revision;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WatchOutcome;
 import io.lentilstream.wire.LocalPeer;
 import io.lentilstream.wire.PeerMessage;
 import io.lentilstream.wire.PeerMessage.Bytes;
--- a/membership/src/test/java/io/lentilstream/membership/PeerViewTests.java
+++ b/membership/src/test/java/io/lentilstream/membership/PeerViewTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
@@ -22,7 +23,6 @@
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.VmEntry;
 import io.lentilstream.wire.LocalPeer;
 import io.lentilstream.wire.PeerMessage.Goodbye;
 import io.lentilstream.wire.PeerMessage.Heartbeat;
--- a/membership/src/test/java/io/lentilstream/membership/SettingsReplicaTests.java
+++ b/membership/src/test/java/io/lentilstream/membership/SettingsReplicaTests.java
@@ -17,9 +17,9 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.model.Revision;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.StoreKey;
 import io.lentilstream.wire.PeerMessage.Bytes;
 import io.lentilstream.wire.PeerMessage.Document;
 
--- a/requests/src/main/java/io/lentilstream/requests/records/RequestRecords.java
+++ b/requests/src/main/java/io/lentilstream/requests/records/RequestRecords.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.TreeSet;
 
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.KeyOutcome;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.KindName;
@@ -18,8 +20,6 @@
 import io.lentilstream.model.RequestId;
 import io.lentilstream.model.RequestOutcome;
 import io.lentilstream.model.ShardId;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.KeyOutcome;
 import io.lentilstream.requests.records.LiveRecord.Activity;
 import io.lentilstream.requests.records.LiveRecord.PendingChange;
 import io.lentilstream.requests.records.LiveRecord.Phase;
--- a/requests/src/test/java/io/lentilstream/requests/records/RecordWorld.java
+++ b/requests/src/test/java/io/lentilstream/requests/records/RecordWorld.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.KeyOutcome;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.IdempotencyKey;
@@ -20,8 +22,6 @@
 import io.lentilstream.model.RequestOutcome;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.KeyOutcome;
 
 /**
  * Runs the records of one owner at a time against a durable log, endpoints that remember
--- a/requests/src/test/java/io/lentilstream/requests/records/RequestRecordsTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/records/RequestRecordsTests.java
@@ -6,6 +6,8 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.KeyOutcome;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.IdempotencyKey;
@@ -16,8 +18,6 @@
 import io.lentilstream.model.RequestOutcome;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.KeyOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/shards/src/main/java/io/lentilstream/shards/SettledWrite.java
+++ b/shards/src/main/java/io/lentilstream/shards/SettledWrite.java
@@ -4,13 +4,13 @@
 import java.util.Arrays;
 import java.util.Optional;
 
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WriteOutcome;
 
 /**
  * Brings one compare-and-swap to a certain end. After a lost reply it reads the key back.
--- a/shards/src/main/java/io/lentilstream/shards/log/LogAction.java
+++ b/shards/src/main/java/io/lentilstream/shards/log/LogAction.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import java.util.Optional;
 
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
 
 /**
  * Is what the daemon does for a {@link ShardLog}: store calls, whose outcome goes back
--- a/shards/src/main/java/io/lentilstream/shards/log/LogKeys.java
+++ b/shards/src/main/java/io/lentilstream/shards/log/LogKeys.java
@@ -2,8 +2,8 @@
 
 import java.util.Locale;
 
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.model.ShardId;
-import io.lentilstream.platform.StoreKey;
 
 /**
  * Names the store keys of a shard log. They are not below the prefix of the ownership
--- a/shards/src/main/java/io/lentilstream/shards/log/LogRecovery.java
+++ b/shards/src/main/java/io/lentilstream/shards/log/LogRecovery.java
@@ -8,13 +8,13 @@
 import java.util.Optional;
 import java.util.zip.CRC32C;
 
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WriteOutcome;
 import io.lentilstream.shards.RecordFormatException;
 import io.lentilstream.shards.SettledWrite;
 
--- a/shards/src/main/java/io/lentilstream/shards/log/ShardLog.java
+++ b/shards/src/main/java/io/lentilstream/shards/log/ShardLog.java
@@ -10,12 +10,12 @@
 import java.util.Optional;
 import java.util.stream.Stream;
 
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.WriteOutcome;
 import io.lentilstream.shards.SettledWrite;
 
 /**
--- a/shards/src/main/java/io/lentilstream/shards/log/ShardLogSettings.java
+++ b/shards/src/main/java/io/lentilstream/shards/log/ShardLogSettings.java
@@ -2,7 +2,7 @@
 
 import java.time.Duration;
 
-import io.lentilstream.platform.StoreClient;
+import io.lentilstream.clients.StoreClient;
 
 /**
  * Holds the limits of a shard log.
--- a/shards/src/main/java/io/lentilstream/shards/log/SnapshotWriter.java
+++ b/shards/src/main/java/io/lentilstream/shards/log/SnapshotWriter.java
@@ -4,12 +4,12 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WriteOutcome;
 import io.lentilstream.shards.RecordFormatException;
 import io.lentilstream.shards.SettledWrite;
 
--- a/shards/src/main/java/io/lentilstream/shards/ownership/EntryRecord.java
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/EntryRecord.java
@@ -3,7 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 
-import io.lentilstream.platform.LeaseId;
+import io.lentilstream.clients.LeaseId;
 import io.lentilstream.shards.RecordFormat;
 import io.lentilstream.shards.RecordFormatException;
 
--- a/shards/src/main/java/io/lentilstream/shards/ownership/LeaseKeeper.java
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/LeaseKeeper.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.LeaseOutcome;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.LeaseOutcome;
 
 /**
  * Keeps the store lease of the process. The commit deadline counts from the time at which
--- a/shards/src/main/java/io/lentilstream/shards/ownership/OwnershipAction.java
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/OwnershipAction.java
@@ -3,12 +3,12 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
 
 /**
  * Is what the daemon does for {@link ShardOwnership}. Actions are carried out in the
--- a/shards/src/main/java/io/lentilstream/shards/ownership/OwnershipKeys.java
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/OwnershipKeys.java
@@ -2,9 +2,9 @@
 
 import java.util.Optional;
 
+import io.lentilstream.clients.StoreKey;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.StoreKey;
 
 /**
  * Names the store keys of shard ownership.
--- a/shards/src/main/java/io/lentilstream/shards/ownership/OwnershipRecord.java
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/OwnershipRecord.java
@@ -1,8 +1,8 @@
 package io.lentilstream.shards.ownership;
 
+import io.lentilstream.clients.LeaseId;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.LeaseId;
 import io.lentilstream.shards.RecordFormat;
 import io.lentilstream.shards.RecordFormatException;
 
--- a/shards/src/main/java/io/lentilstream/shards/ownership/ShardOwnership.java
+++ b/shards/src/main/java/io/lentilstream/shards/ownership/ShardOwnership.java
@@ -11,17 +11,17 @@
 import java.util.TreeMap;
 import java.util.stream.Stream;
 
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.LeaseOutcome;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.LeaseOutcome;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WriteOutcome;
 import io.lentilstream.shards.RecordFormatException;
 import io.lentilstream.shards.SettledWrite;
 
--- a/shards/src/test/java/io/lentilstream/shards/log/LogHarness.java
+++ b/shards/src/test/java/io/lentilstream/shards/log/LogHarness.java
@@ -7,10 +7,10 @@
 import java.util.List;
 import java.util.function.Predicate;
 
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
-import io.lentilstream.platform.WriteOutcome;
 import io.lentilstream.shards.FakeStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/shards/src/test/java/io/lentilstream/shards/log/LogSequenceTests.java
+++ b/shards/src/test/java/io/lentilstream/shards/log/LogSequenceTests.java
@@ -14,10 +14,10 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.ShrinkingMode;
 
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.shards.FakeStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/shards/src/test/java/io/lentilstream/shards/log/ShardLogTests.java
+++ b/shards/src/test/java/io/lentilstream/shards/log/ShardLogTests.java
@@ -7,8 +7,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.shards.FakeStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
--- a/shards/src/test/java/io/lentilstream/shards/ownership/OwnershipCluster.java
+++ b/shards/src/test/java/io/lentilstream/shards/ownership/OwnershipCluster.java
@@ -8,15 +8,15 @@
 import java.util.TreeMap;
 import java.util.function.Supplier;
 
+import io.lentilstream.clients.LeaseOutcome;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.LeaseOutcome;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.WriteOutcome;
 import io.lentilstream.shards.FakeStore;
 
 /**
--- a/shards/src/test/java/io/lentilstream/shards/ownership/ShardOwnershipTests.java
+++ b/shards/src/test/java/io/lentilstream/shards/ownership/ShardOwnershipTests.java
@@ -8,13 +8,13 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.WriteOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.WriteOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/standin/src/main/java/io/lentilstream/standin/Reply.java
+++ b/standin/src/main/java/io/lentilstream/standin/Reply.java
@@ -2,7 +2,7 @@
 
 import java.util.Map;
 
-import io.lentilstream.platform.http.PlatformJson;
+import io.lentilstream.clients.http.PlatformJson;
 
 /**
  * Is an answer of the stand-in and how it is delivered.
--- a/standin/src/main/java/io/lentilstream/standin/RunningTask.java
+++ b/standin/src/main/java/io/lentilstream/standin/RunningTask.java
@@ -5,12 +5,12 @@
 import java.util.Deque;
 import java.util.Optional;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.TaskSpecification;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.ShardId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.TaskSpecification;
 
 /**
  * Is a task at a worker, running or ended. Guarded by the lock of its worker.
--- a/standin/src/main/java/io/lentilstream/standin/StandinDirectory.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinDirectory.java
@@ -9,11 +9,11 @@
 import java.util.Optional;
 import java.util.function.Consumer;
 
+import io.lentilstream.clients.VmEntry;
+import io.lentilstream.clients.http.PlatformJson;
+import io.lentilstream.clients.http.PlatformMessages.VmsAnswer;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.VmEntry;
-import io.lentilstream.platform.http.PlatformJson;
-import io.lentilstream.platform.http.PlatformMessages.VmsAnswer;
 
 /**
  * Lists VMs with a lag.
--- a/standin/src/main/java/io/lentilstream/standin/StandinEndpoint.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinEndpoint.java
@@ -12,10 +12,10 @@
 import java.util.function.Consumer;
 import java.util.random.RandomGenerator;
 
+import io.lentilstream.clients.http.PlatformMessages;
+import io.lentilstream.clients.http.PlatformMessages.InFlightAnswer;
+import io.lentilstream.clients.http.PlatformMessages.KeyAnswer;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.http.PlatformMessages;
-import io.lentilstream.platform.http.PlatformMessages.InFlightAnswer;
-import io.lentilstream.platform.http.PlatformMessages.KeyAnswer;
 
 /**
  * Runs requests in slots behind a guard. It does not deduplicate idempotency keys, so
--- a/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinPlatform.java
@@ -5,11 +5,11 @@
 import java.util.Optional;
 import java.util.SplittableRandom;
 
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.MonotonicClock;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.VmEntry;
 import io.lentilstream.settings.process.StandinSettings;
 
 /**
--- a/standin/src/main/java/io/lentilstream/standin/StandinRouter.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinRouter.java
@@ -3,8 +3,8 @@
 import java.util.function.Consumer;
 import java.util.function.Function;
 
+import io.lentilstream.clients.http.PlatformMessages.ErrorAnswer;
 import io.lentilstream.model.Identifiers;
-import io.lentilstream.platform.http.PlatformMessages.ErrorAnswer;
 
 /**
  * Passes a request on by the first part of its path, which is then removed.
--- a/standin/src/main/java/io/lentilstream/standin/StandinStore.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinStore.java
@@ -14,17 +14,17 @@
 import java.util.TreeMap;
 import java.util.function.Consumer;
 
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.http.PlatformMessages.ConflictAnswer;
+import io.lentilstream.clients.http.PlatformMessages.ErrorAnswer;
+import io.lentilstream.clients.http.PlatformMessages.LeaseAnswer;
+import io.lentilstream.clients.http.PlatformMessages.ListAnswer;
+import io.lentilstream.clients.http.PlatformMessages.ReadAnswer;
+import io.lentilstream.clients.http.PlatformMessages.StoredMessage;
+import io.lentilstream.clients.http.PlatformMessages.WatchAnswer;
+import io.lentilstream.clients.http.PlatformMessages.WriteMessage;
+import io.lentilstream.clients.http.PlatformMessages.WrittenAnswer;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.http.PlatformMessages.ConflictAnswer;
-import io.lentilstream.platform.http.PlatformMessages.ErrorAnswer;
-import io.lentilstream.platform.http.PlatformMessages.LeaseAnswer;
-import io.lentilstream.platform.http.PlatformMessages.ListAnswer;
-import io.lentilstream.platform.http.PlatformMessages.ReadAnswer;
-import io.lentilstream.platform.http.PlatformMessages.StoredMessage;
-import io.lentilstream.platform.http.PlatformMessages.WatchAnswer;
-import io.lentilstream.platform.http.PlatformMessages.WriteMessage;
-import io.lentilstream.platform.http.PlatformMessages.WrittenAnswer;
 
 /**
  * Keeps the values, leases and waiting watches of the stand-in's store. The revision of
--- a/standin/src/main/java/io/lentilstream/standin/StandinWorker.java
+++ b/standin/src/main/java/io/lentilstream/standin/StandinWorker.java
@@ -11,19 +11,19 @@
 import java.util.Set;
 import java.util.function.Consumer;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.TaskSpecification;
+import io.lentilstream.clients.http.PlatformJson;
+import io.lentilstream.clients.http.PlatformMessages.ErrorAnswer;
+import io.lentilstream.clients.http.PlatformMessages.FencedAnswer;
+import io.lentilstream.clients.http.PlatformMessages.ReportMessage;
+import io.lentilstream.clients.http.PlatformMessages.ReportsAnswer;
+import io.lentilstream.clients.http.PlatformMessages.WorkerCommand;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TaskId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.TaskSpecification;
-import io.lentilstream.platform.http.PlatformJson;
-import io.lentilstream.platform.http.PlatformMessages.ErrorAnswer;
-import io.lentilstream.platform.http.PlatformMessages.FencedAnswer;
-import io.lentilstream.platform.http.PlatformMessages.ReportMessage;
-import io.lentilstream.platform.http.PlatformMessages.ReportsAnswer;
-import io.lentilstream.platform.http.PlatformMessages.WorkerCommand;
 
 /**
  * Runs tasks under leases. It does not refuse a start that exceeds its capacity, so that
--- a/standin/src/main/java/io/lentilstream/standin/StoreRoutes.java
+++ b/standin/src/main/java/io/lentilstream/standin/StoreRoutes.java
@@ -6,11 +6,11 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Consumer;
 
-import io.lentilstream.platform.http.PlatformJson;
-import io.lentilstream.platform.http.PlatformMessages;
-import io.lentilstream.platform.http.PlatformMessages.ErrorAnswer;
-import io.lentilstream.platform.http.PlatformMessages.LeaseMessage;
-import io.lentilstream.platform.http.PlatformMessages.WriteMessage;
+import io.lentilstream.clients.http.PlatformJson;
+import io.lentilstream.clients.http.PlatformMessages;
+import io.lentilstream.clients.http.PlatformMessages.ErrorAnswer;
+import io.lentilstream.clients.http.PlatformMessages.LeaseMessage;
+import io.lentilstream.clients.http.PlatformMessages.WriteMessage;
 
 /**
  * Answers the calls of the store's clients, counts them and applies the faults.
--- a/standin/src/main/java/io/lentilstream/standin/TaskRun.java
+++ b/standin/src/main/java/io/lentilstream/standin/TaskRun.java
@@ -3,9 +3,9 @@
 import java.time.Duration;
 import java.util.Optional;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskReport;
 
 /**
  * Is one interval in which a task ran on a VM.
--- a/standin/src/test/java/io/lentilstream/standin/DirectoryContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/DirectoryContractTests.java
@@ -7,11 +7,11 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import io.lentilstream.clients.VmEntry;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.RackId;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.VmEntry;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/standin/src/test/java/io/lentilstream/standin/EndpointContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/EndpointContractTests.java
@@ -12,15 +12,15 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import io.lentilstream.clients.EndpointClient;
+import io.lentilstream.clients.EndpointOutcome;
+import io.lentilstream.clients.EndpointRequest;
+import io.lentilstream.clients.KeyOutcome;
+import io.lentilstream.clients.VmEntry;
+import io.lentilstream.clients.http.HttpEndpointClient;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.IdempotencyKey;
 import io.lentilstream.model.RequestId;
-import io.lentilstream.platform.EndpointClient;
-import io.lentilstream.platform.EndpointOutcome;
-import io.lentilstream.platform.EndpointRequest;
-import io.lentilstream.platform.KeyOutcome;
-import io.lentilstream.platform.VmEntry;
-import io.lentilstream.platform.http.HttpEndpointClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/standin/src/test/java/io/lentilstream/standin/StandinFixture.java
+++ b/standin/src/test/java/io/lentilstream/standin/StandinFixture.java
@@ -10,6 +10,13 @@
 
 import org.awaitility.Awaitility;
 
+import io.lentilstream.clients.http.HttpCalls;
+import io.lentilstream.clients.http.HttpClientSettings;
+import io.lentilstream.clients.http.HttpEndpointClient;
+import io.lentilstream.clients.http.HttpStoreClient;
+import io.lentilstream.clients.http.HttpVmDirectory;
+import io.lentilstream.clients.http.HttpWorkerClient;
+import io.lentilstream.clients.http.StoreCallMeter;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.EndpointId;
 import io.lentilstream.model.MonotonicTime;
@@ -18,13 +25,6 @@
 import io.lentilstream.model.ServiceName;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.http.HttpCalls;
-import io.lentilstream.platform.http.HttpClientSettings;
-import io.lentilstream.platform.http.HttpEndpointClient;
-import io.lentilstream.platform.http.HttpStoreClient;
-import io.lentilstream.platform.http.HttpVmDirectory;
-import io.lentilstream.platform.http.HttpWorkerClient;
-import io.lentilstream.platform.http.StoreCallMeter;
 
 /**
  * Runs a stand-in with one worker, one endpoint and a clock that only the test moves.
--- a/standin/src/test/java/io/lentilstream/standin/StoreConcurrencyTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/StoreConcurrencyTests.java
@@ -10,12 +10,12 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WriteOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WriteOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/standin/src/test/java/io/lentilstream/standin/StoreContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/StoreContractTests.java
@@ -16,17 +16,17 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
-import io.lentilstream.platform.LeaseId;
-import io.lentilstream.platform.LeaseOutcome;
-import io.lentilstream.platform.ListOutcome;
-import io.lentilstream.platform.ReadOutcome;
-import io.lentilstream.platform.StoreClient;
-import io.lentilstream.platform.StoreKey;
-import io.lentilstream.platform.StoreWrite;
-import io.lentilstream.platform.StoredValue;
-import io.lentilstream.platform.WatchOutcome;
-import io.lentilstream.platform.WriteOutcome;
-import io.lentilstream.platform.http.HttpStoreClient;
+import io.lentilstream.clients.LeaseId;
+import io.lentilstream.clients.LeaseOutcome;
+import io.lentilstream.clients.ListOutcome;
+import io.lentilstream.clients.ReadOutcome;
+import io.lentilstream.clients.StoreClient;
+import io.lentilstream.clients.StoreKey;
+import io.lentilstream.clients.StoreWrite;
+import io.lentilstream.clients.StoredValue;
+import io.lentilstream.clients.WatchOutcome;
+import io.lentilstream.clients.WriteOutcome;
+import io.lentilstream.clients.http.HttpStoreClient;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/standin/src/test/java/io/lentilstream/standin/WorkerContractTests.java
+++ b/standin/src/test/java/io/lentilstream/standin/WorkerContractTests.java
@@ -13,15 +13,15 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.TaskSpecification;
+import io.lentilstream.clients.WorkerClient;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TaskId;
 import io.lentilstream.model.Urgency;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.TaskSpecification;
-import io.lentilstream.platform.WorkerClient;
-import io.lentilstream.platform.WorkerOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/tasks/src/main/java/io/lentilstream/tasks/TaskShard.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/TaskShard.java
@@ -6,14 +6,14 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Supplier;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.tasks.scheduling.ShardDecider;
 
 /**
--- a/tasks/src/main/java/io/lentilstream/tasks/WorkerCommand.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/WorkerCommand.java
@@ -3,8 +3,8 @@
 import java.time.Duration;
 import java.util.List;
 
+import io.lentilstream.clients.TaskSpecification;
 import io.lentilstream.model.TaskId;
-import io.lentilstream.platform.TaskSpecification;
 
 /**
  * Is a command to a worker. The daemon adds the shard and its epoch.
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/AnswerRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/AnswerRule.java
@@ -4,10 +4,10 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.TaskId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.tasks.TaskState;
 import io.lentilstream.tasks.WorkerCommand;
 
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/CheckpointRecorder.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/CheckpointRecorder.java
@@ -2,9 +2,9 @@
 
 import java.time.Duration;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Urgency;
-import io.lentilstream.platform.TaskReport;
 import io.lentilstream.tasks.WorkerCommand;
 import io.lentilstream.tasks.log.TaskLogEntry;
 
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ReconciliationRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ReconciliationRule.java
@@ -3,9 +3,9 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.TaskId;
-import io.lentilstream.platform.TaskReport;
 import io.lentilstream.tasks.TaskState;
 import io.lentilstream.tasks.WorkerCommand;
 
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ReportRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ReportRule.java
@@ -1,7 +1,7 @@
 package io.lentilstream.tasks.scheduling;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.TaskReport;
 import io.lentilstream.tasks.TaskState;
 
 /**
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardDecider.java
@@ -10,6 +10,8 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.MonotonicTime;
@@ -17,8 +19,6 @@
 import io.lentilstream.model.ShardId;
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.tasks.JobAnswer;
 import io.lentilstream.tasks.JobRefusal;
 import io.lentilstream.tasks.JobSubmission;
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/StartRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/StartRule.java
@@ -3,9 +3,9 @@
 import java.util.Iterator;
 import java.util.Optional;
 
+import io.lentilstream.clients.TaskSpecification;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
-import io.lentilstream.platform.TaskSpecification;
 import io.lentilstream.tasks.WorkerCommand;
 import io.lentilstream.tasks.log.SizeFactor;
 
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/UsageRule.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/UsageRule.java
@@ -2,9 +2,9 @@
 
 import java.util.List;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
-import io.lentilstream.platform.TaskReport;
 import io.lentilstream.tasks.log.SizeFactor;
 
 /**
--- a/tasks/src/test/java/io/lentilstream/tasks/FakeOwner.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/FakeOwner.java
@@ -4,8 +4,8 @@
 import java.util.ArrayList;
 import java.util.List;
 
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.MonotonicTime;
-import io.lentilstream.platform.WorkerOutcome;
 
 /**
  * Does for one {@link TaskShard} what the entry daemon does: entries first, then actions.
--- a/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
@@ -6,14 +6,14 @@
 import java.util.Map;
 import java.util.Optional;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.TaskSpecification;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.TaskId;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.TaskSpecification;
-import io.lentilstream.platform.WorkerOutcome;
 
 /**
  * Runs tasks under leases as the platform's worker does, in virtual time.
--- a/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/OverloadTests.java
@@ -4,10 +4,10 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
+import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.Urgency;
-import io.lentilstream.platform.TaskReport;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/tasks/src/test/java/io/lentilstream/tasks/OvertakenStartTests.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/OvertakenStartTests.java
@@ -6,14 +6,14 @@
 
 import org.junit.jupiter.api.Test;
 
+import io.lentilstream.clients.TaskReport;
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.model.RackId;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.Urgency;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.TaskReport;
-import io.lentilstream.platform.WorkerOutcome;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
--- a/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/ShardWorld.java
@@ -11,6 +11,7 @@
 import java.util.Optional;
 import java.util.Set;
 
+import io.lentilstream.clients.WorkerOutcome;
 import io.lentilstream.model.Epoch;
 import io.lentilstream.model.JobId;
 import io.lentilstream.model.MonotonicTime;
@@ -21,7 +22,6 @@
 import io.lentilstream.model.TeamId;
 import io.lentilstream.model.Urgency;
 import io.lentilstream.model.VmId;
-import io.lentilstream.platform.WorkerOutcome;
 import io.lentilstream.tasks.log.LogDecodeOutcome;
 import io.lentilstream.tasks.log.TaskLogCodec;
 import io.lentilstream.tasks.log.TaskLogEntry;
