Learn which images disturb each other, and keep restored progress

Cause: filling tasks were placed only where processor time was not reserved, although serving tasks use under half of what they reserve; those that were placed disturbed some images and not others. After a takeover the restored occurrence of a job was opened afresh, so done tasks ran again.

Change: a model of the tail by pair of images, learnt online, decides where filling tasks go and which are slowed down. Opening a due occurrence keeps the tasks that were restored.

--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/DisturbanceForecast.java
@@ -0,0 +1,57 @@
+package io.lentilstream.jobs.scheduling;
+
+/**
+ * Foretells the tails of the serving tasks of a VM from their last report and from what
+ * has changed since.
+ */
+final class DisturbanceForecast {
+
+	private static final double FULL_PACE = 100;
+
+	private final InterferenceModel model;
+
+	DisturbanceForecast(InterferenceModel model) {
+		this.model = model;
+	}
+
+	InterferenceModel model() {
+		return this.model;
+	}
+
+	/**
+	 * Returns the logarithm of the tail that a serving task will have, as a part of its
+	 * target, with the filling tasks that are there now.
+	 * @param serving the run of the serving task
+	 * @return the logarithm
+	 */
+	double expected(Run serving) {
+		double log = InterferenceModel.logarithm(ratio(serving));
+		for (Run other : serving.worker.runs.values()) {
+			if (other.task.spec().traits().fills()) {
+				log += sensitivity(serving, other.task) * (plannedShare(other) - reportedShare(other));
+			}
+		}
+		return log;
+	}
+
+	double sensitivity(Run serving, Task filling) {
+		return this.model.sensitivity(serving.task.spec().image(), filling.spec().image());
+	}
+
+	static double ratio(Run serving) {
+		return serving.figure / serving.task.spec().targetMillis();
+	}
+
+	static double share(Task filling, Worker worker) {
+		return (double) filling.spec().size().milliCores() / Math.max(1, worker.listing.capacity().milliCores());
+	}
+
+	static double reportedShare(Run filling) {
+		return filling.figure / Math.max(1, filling.worker.listing.capacity().milliCores());
+	}
+
+	private static double plannedShare(Run filling) {
+		return share(filling.task, filling.worker) * filling.pace / FULL_PACE;
+	}
+
+}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobOpeningRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobOpeningRule.java
@@ -44,7 +44,10 @@
 				job.nextOccurrence++;
 				continue;
 			}
-			job.openOccurrence(occurrence);
+			if (!job.occurrences.containsKey(occurrence)) {
+				job.openOccurrence(occurrence);
+			}
+			job.nextOccurrence = occurrence + 1;
 			openSteps(job, occurrence, now);
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -60,10 +60,11 @@
 		this.stops = new StopRule(this.state);
 		this.opening = new JobOpeningRule(this.state, this.stops, timeOfDay);
 		TrustRule trust = new TrustRule(this.state);
-		PlacementRule placement = new PlacementRule();
+		DisturbanceForecast forecast = new DisturbanceForecast(new InterferenceModel());
+		PlacementRule placement = new PlacementRule(forecast);
 		this.ends = new EndRule(this.state, this.stops, this.opening, trust);
 		StartRule starts = new StartRule(this.state, this.ends, trust);
-		this.reports = new ReportRule(this.state, starts, this.ends, this.stops, new PacingRule(this.state));
+		this.reports = new ReportRule(this.state, starts, this.ends, this.stops, new PacingRule(this.state, forecast));
 		this.holds = new HoldRule(this.state, this.reports, this.ends);
 		this.stragglers = new StragglerRule(this.state, this.stops, starts, trust, placement);
 		this.pass = new PlacementPass(this.state, placement, starts);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
@@ -1,82 +1,149 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
 import io.lentilstream.jobs.OrderAnswer;
 
 /**
- * Slows filling tasks down where a serving task beside them nears its target, and lets
- * them speed up again when it has been calm. Load pattern: the load of serving tasks
- * swings within seconds while filling tasks run for longer.
+ * Slows down the filling tasks that disturb a serving task near its target, those that
+ * disturb it most first, and lets them speed up again when there is room. Load pattern:
+ * the load of serving tasks swings within seconds while filling tasks run for longer.
  */
 final class PacingRule {
 
-	/** Share of its target from which a serving task counts as pressed. */
-	private static final double PRESSED = 0.85;
+	/** Part of its target from which a serving task counts as disturbed. */
+	private static final double DISTURBED = 0.95;
 
-	/** Share of its target below which filling tasks may speed up. */
-	private static final double CALM = 0.5;
+	/** Part of its target that a serving task is meant to stay under. */
+	private static final double GOAL = 0.8;
 
-	/** Time without pressure before filling tasks speed up, in milliseconds. */
-	private static final long CALM_MILLIS = 1500;
+	/** Time over its target after which all filling tasks pause, in milliseconds. */
+	private static final long PAUSE_MILLIS = 900;
 
 	private static final int FULL_PACE = 100;
 
-	private static final int SPEED_UP = 25;
+	/** Smallest change of pace that is worth an order. */
+	private static final int LEAST_CHANGE = 10;
 
-	private static final int SLOWEST = 0;
+	/** Largest step up. */
+	private static final int SPEED_UP = 50;
 
 	private final SchedulerState state;
 
-	PacingRule(SchedulerState state) {
+	private final DisturbanceForecast forecast;
+
+	PacingRule(SchedulerState state, DisturbanceForecast forecast) {
 		this.state = state;
+		this.forecast = forecast;
 	}
 
 	void apply(Worker worker, long now) {
-		double pressure = 0;
+		List<Run> serving = new ArrayList<>();
+		List<Run> filling = new ArrayList<>();
 		for (Run run : worker.runs.values()) {
-			if (run.phase == Run.Phase.RUNNING && run.task.spec().serves()) {
-				pressure = Math.max(pressure, run.figure / run.task.spec().targetMillis());
+			if (run.phase != Run.Phase.RUNNING) {
+				continue;
+			}
+			if (run.task.spec().serves() && run.figure > 0) {
+				serving.add(run);
 			}
+			else if (run.task.spec().traits().fills() && !run.stopWanted) {
+				filling.add(run);
+			}
+		}
+		if (serving.isEmpty()) {
+			worker.pressedSince = -1;
+			filling.forEach((run) -> order(run, FULL_PACE));
+			return;
 		}
-		worker.pressure = pressure;
-		boolean pressed = pressure >= PRESSED;
-		if (pressed) {
+		learn(serving, filling);
+		double pressure = serving.stream().mapToDouble(DisturbanceForecast::ratio).max().orElse(0);
+		worker.pressedSince = (pressure < 1) ? -1 : (worker.pressedSince < 0) ? now : worker.pressedSince;
+		if (pressure >= 1) {
 			worker.pressedAt = now;
 		}
-		for (Run run : worker.runs.values()) {
-			if (run.task.spec().traits().fills() && run.phase == Run.Phase.RUNNING && !run.stopWanted
-					&& !run.paceInFlight) {
-				pace(run, worker, now);
+		if (worker.pressedSince >= 0 && now - worker.pressedSince >= PAUSE_MILLIS) {
+			filling.forEach((run) -> order(run, 0));
+		}
+		else if (pressure >= DISTURBED) {
+			serving.stream()
+				.filter((run) -> DisturbanceForecast.ratio(run) >= DISTURBED)
+				.forEach((run) -> relieve(run, filling));
+		}
+		else {
+			filling.stream().filter((run) -> run.pace < FULL_PACE).forEach((run) -> speedUp(run, serving));
+		}
+	}
+
+	private void learn(List<Run> serving, List<Run> filling) {
+		Map<String, Double> shares = new HashMap<>();
+		for (Run run : filling) {
+			double share = DisturbanceForecast.reportedShare(run);
+			if (share > 0) {
+				shares.merge(run.task.spec().image(), share, Double::sum);
 			}
 		}
+		for (Run run : serving) {
+			this.forecast.model().observe(run.task.spec().image(), DisturbanceForecast.ratio(run), shares);
+		}
 	}
 
-	private void pace(Run run, Worker worker, long now) {
-		int wanted = run.pace;
-		if (worker.pressure >= 1) {
-			wanted = SLOWEST;
+	private void relieve(Run serving, List<Run> filling) {
+		double excess = this.forecast.expected(serving) - Math.log(GOAL);
+		List<Run> worst = new ArrayList<>(filling);
+		worst.sort(Comparator.comparingDouble((Run run) -> -effect(serving, run)));
+		for (Run run : worst) {
+			if (excess <= 0) {
+				return;
+			}
+			double effect = effect(serving, run);
+			double kept = (effect > excess) ? 1 - excess / effect : 0;
+			order(run, (int) (kept * run.pace));
+			excess -= effect;
 		}
-		else if (worker.pressure >= PRESSED) {
-			wanted = Math.min(run.pace, Math.max(SLOWEST, run.pace / 2));
+	}
+
+	private double effect(Run serving, Run filling) {
+		double share = DisturbanceForecast.share(filling.task, filling.worker) * filling.pace / FULL_PACE;
+		return this.forecast.sensitivity(serving, filling.task) * share;
+	}
+
+	private void speedUp(Run filling, List<Run> serving) {
+		double share = DisturbanceForecast.share(filling.task, filling.worker);
+		double most = SPEED_UP;
+		for (Run run : serving) {
+			double room = Math.log(GOAL) - this.forecast.expected(run);
+			double perPercent = this.forecast.sensitivity(run, filling.task) * share / FULL_PACE;
+			most = Math.min(most, (perPercent > 0) ? room / perPercent : (room > 0) ? SPEED_UP : 0);
 		}
-		else if (worker.pressure < CALM && now - worker.pressedAt > CALM_MILLIS) {
-			wanted = Math.min(FULL_PACE, run.pace + SPEED_UP);
+		int pace = (int) Math.min(FULL_PACE, filling.pace + Math.max(0, most));
+		if (pace - filling.pace >= LEAST_CHANGE || pace == FULL_PACE) {
+			order(filling, pace);
 		}
-		if (wanted == run.pace) {
+	}
+
+	private void order(Run run, int percent) {
+		if (percent == run.pace || run.paceInFlight) {
 			return;
 		}
 		run.paceInFlight = true;
-		int target = wanted;
-		this.state.log.note("run-paced", run.task.name, "worker", worker, "percent", target, "was", run.pace,
-				"pressure", worker.pressure);
-		this.state.orders.pace(worker.listing, run.task.name, run.number, target,
-				(answer) -> answered(run, target, answer));
+		int former = run.pace;
+		run.pace = percent;
+		this.state.log.note("run-paced", run.task.name, "worker", run.worker, "percent", percent, "was", former);
+		this.state.orders.pace(run.worker.listing, run.task.name, run.number, percent,
+				(answer) -> answered(run, former, answer));
 	}
 
-	private void answered(Run run, int percent, OrderAnswer answer) {
+	private void answered(Run run, int former, OrderAnswer answer) {
 		run.paceInFlight = false;
-		if (answer instanceof OrderAnswer.Done) {
-			run.pace = percent;
-			run.progressedAt = this.state.now();
+		run.progressedAt = this.state.now();
+		if (!(answer instanceof OrderAnswer.Done)) {
+			// The next report decides again.
+			run.pace = former;
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -15,24 +15,28 @@
 
 	private static final double NEAR_DATA = 100;
 
-	private static final double BESIDE_SERVING = 10;
-
 	private static final double BESIDE_FILLING = 2;
 
-	/** Share of a VM up to which serving tasks are packed. */
-	private static final double PACKED_SHARE = 0.7;
-
-	/** Share of its target that a serving task may take where filling tasks are added. */
-	private static final double CALM_PRESSURE = 0.5;
+	/** Part of its request that a serving task is assumed to use. */
+	private static final double SERVING_USE = 0.6;
 
 	/**
 	 * For how long filling tasks keep away after a target was missed, in milliseconds.
 	 */
-	private static final long PRESSED_MILLIS = 6000;
+	private static final long PRESSED_MILLIS = 1500;
+
+	/** Part of its target that a serving task is meant to stay under. */
+	private static final double TAIL_GOAL = 0.8;
 
 	/** Part of its request that a filling task must find unused. */
 	private static final double FILL_SHARE = 0.8;
 
+	private final DisturbanceForecast forecast;
+
+	PlacementRule(DisturbanceForecast forecast) {
+		this.forecast = forecast;
+	}
+
 	Worker choose(Task task, Collection<Worker> workers, String rack, long now) {
 		Worker best = null;
 		double bestScore = Double.NEGATIVE_INFINITY;
@@ -49,7 +53,7 @@
 		return best;
 	}
 
-	private static boolean allowed(Task task, Worker worker, String rack, long now) {
+	private boolean allowed(Task task, Worker worker, String rack, long now) {
 		StepSpec spec = task.spec();
 		StepSpec.Placement placement = spec.placement();
 		if (!worker.takesWork(now) || !worker.listing.service().equals(task.job.policy.service())) {
@@ -64,18 +68,43 @@
 		if (placement.maxPerWorker() > 0 && worker.countOf(task.step) >= placement.maxPerWorker()) {
 			return false;
 		}
-		return !spec.traits().fills() || roomToFill(spec, worker, now);
+		return !spec.traits().fills() || roomToFill(task, worker, now);
 	}
 
-	private static boolean roomToFill(StepSpec spec, Worker worker, long now) {
-		long unused = worker.free().milliCores() - worker.fillDemand;
-		if (unused < FILL_SHARE * spec.size().milliCores()) {
+	private boolean roomToFill(Task task, Worker worker, long now) {
+		long capacity = worker.listing.capacity().milliCores();
+		double unused = capacity - worker.plainDemand() - SERVING_USE * worker.servingDemand - worker.fillDemand;
+		if (unused < FILL_SHARE * task.spec().size().milliCores()) {
 			return false;
 		}
-		return worker.serving == 0 || (worker.pressure < CALM_PRESSURE && now - worker.pressedAt > PRESSED_MILLIS);
+		if (worker.serving == 0) {
+			return true;
+		}
+		return now - worker.pressedAt > PRESSED_MILLIS && worstTail(task, worker) < Math.log(TAIL_GOAL);
 	}
 
-	private static double score(Task task, Worker worker) {
+	private double worstTail(Task filling, Worker worker) {
+		double worst = Double.NEGATIVE_INFINITY;
+		double share = DisturbanceForecast.share(filling, worker);
+		for (Run run : worker.runs.values()) {
+			if (run.task.spec().serves()) {
+				worst = Math.max(worst, this.forecast.expected(run) + share * this.forecast.sensitivity(run, filling));
+			}
+		}
+		return worst;
+	}
+
+	private double disturbance(Task filling, Worker worker) {
+		double sum = 0;
+		for (Run run : worker.runs.values()) {
+			if (run.task.spec().serves()) {
+				sum += this.forecast.sensitivity(run, filling);
+			}
+		}
+		return sum * DisturbanceForecast.share(filling, worker);
+	}
+
+	private double score(Task task, Worker worker) {
 		StepSpec spec = task.spec();
 		Resources capacity = worker.listing.capacity();
 		double score = 0;
@@ -88,14 +117,19 @@
 		double free = (double) worker.free().milliCores() / Math.max(1, capacity.milliCores());
 		double unused = free - (double) worker.fillDemand / Math.max(1, capacity.milliCores());
 		if (spec.traits().fills()) {
-			return score + unused - ((worker.serving > 0) ? BESIDE_SERVING : 0);
+			return score + spare(worker) - disturbance(task, worker);
 		}
 		if (spec.serves()) {
 			score -= BESIDE_FILLING * (free - unused);
-			boolean packs = worker.serving > 0 && 1 - free < PACKED_SHARE && worker.pressure < CALM_PRESSURE;
-			return score + (packs ? 1 - free : -1 + free);
+			return score + ((worker.serving > 0) ? 1 : 0) + 1 - free;
 		}
 		return score + unused;
 	}
 
+	// Share of the VM that is expected to be unused.
+	private static double spare(Worker worker) {
+		double used = worker.plainDemand() + SERVING_USE * worker.servingDemand + worker.fillDemand;
+		return 1 - used / Math.max(1, worker.listing.capacity().milliCores());
+	}
+
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -38,6 +38,9 @@
 
 	int serving;
 
+	/** Processor time that serving tasks request, in thousandths of a core. */
+	long servingDemand;
+
 	/** The highest number of an end that was taken in. */
 	long lastEnd;
 
@@ -60,10 +63,12 @@
 
 	int failuresInRow;
 
-	/** How much of its target the worst serving task takes. */
-	double pressure;
+	/**
+	 * Since when a serving task is over its target, in milliseconds; negative if none is.
+	 */
+	long pressedSince = -1;
 
-	/** When the pressure was last too high, in milliseconds. */
+	/** When a serving task was last over its target, in milliseconds. */
 	long pressedAt = Long.MIN_VALUE / 2;
 
 	Worker(WorkerListing listing, long now) {
@@ -104,12 +109,21 @@
 		return this.listing.capacity().minus(this.reserved);
 	}
 
+	/**
+	 * Returns what tasks that neither serve nor fill request.
+	 * @return thousandths of a core
+	 */
+	long plainDemand() {
+		return this.reserved.milliCores() - this.servingDemand;
+	}
+
 	void add(Run run) {
 		this.runs.put(run.key(), run);
 		StepSpec spec = run.task.spec();
 		this.reserved = this.reserved.plus(spec.reserved());
 		this.fillDemand += spec.traits().fills() ? spec.size().milliCores() : 0;
 		this.serving += spec.serves() ? 1 : 0;
+		this.servingDemand += spec.serves() ? spec.size().milliCores() : 0;
 	}
 
 	void remove(Run run) {
@@ -120,6 +134,7 @@
 		this.reserved = this.reserved.minus(spec.reserved());
 		this.fillDemand -= spec.traits().fills() ? spec.size().milliCores() : 0;
 		this.serving -= spec.serves() ? 1 : 0;
+		this.servingDemand -= spec.serves() ? spec.size().milliCores() : 0;
 	}
 
 	/**
