Keep serving images apart and fit their sensitivities by regression

Change: ridge regression per serving image; serving tasks are packed by image so that filling tasks find VMs on which they disturb nothing. Tests in virtual time: takeovers, and seeded faults that check that no task runs twice, out of order, or over a VM's capacity.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
@@ -6,28 +6,26 @@
 /**
  * Learns how much filling tasks of each image lengthen the tail of serving tasks of each
  * image. The logarithm of a tail is modelled as a base of the serving image plus, for
- * each filling task, its share of the VM times the sensitivity of the pair of images.
- * Load pattern: which pairs of images disturb each other is different each day and
- * changes with load.
+ * each image of filling tasks, their share of the VM times the sensitivity of the pair.
+ * Load pattern: which pairs of images disturb each other is different each day; most
+ * pairs do not.
  */
 final class InterferenceModel {
 
 	/** Assumed sensitivity of a pair that was not seen yet. */
-	private static final double UNSEEN = 2.5;
+	private static final double UNSEEN = 1;
 
-	private static final double MAX_SENSITIVITY = 60;
+	/** Weight of the assumption against the sum of squared shares. */
+	private static final double UNSEEN_WEIGHT = 0.3;
 
-	/** Step of the base toward an observation. */
-	private static final double BASE_RATE = 0.04;
-
-	/** Step of the sensitivities toward an observation. */
-	private static final double SENSITIVITY_RATE = 0.15;
+	/** Part of the weight of former observations that each new one leaves. */
+	private static final double KEEP = 0.9995;
 
-	/** Keeps small shares from being blamed for large errors. */
-	private static final double SHARE_FLOOR = 0.02;
+	/** Step of the base toward an observation. */
+	private static final double BASE_RATE = 0.02;
 
-	/** Largest error that one observation counts for. */
-	private static final double MAX_ERROR = 1.5;
+	/** Largest difference from the base that one observation counts for. */
+	private static final double MAX_DIFFERENCE = 1.5;
 
 	/** Logarithm of the usual tail, as a part of the target, before observations. */
 	private static final double INITIAL_BASE = Math.log(0.4);
@@ -35,31 +33,33 @@
 	/** Smallest tail that is told from nothing, as a part of the target. */
 	private static final double SMALLEST_RATIO = 0.02;
 
-	private final Map<String, Double> bases = new HashMap<>();
+	private final Map<String, Integer> fillingImages = new HashMap<>();
 
-	private final Map<Pair, Double> sensitivities = new HashMap<>();
+	private final Map<String, Serving> servingImages = new HashMap<>();
 
 	/**
 	 * Takes in an observation.
-	 * @param serving the image of the serving task
+	 * @param image the image of the serving task
 	 * @param ratio its tail, as a part of its target
 	 * @param shares shares of the VM that filling tasks used meanwhile, by image
 	 */
-	void observe(String serving, double ratio, Map<String, Double> shares) {
-		double base = this.bases.getOrDefault(serving, INITIAL_BASE);
-		double expected = base;
-		double squares = 0;
-		for (Map.Entry<String, Double> share : shares.entrySet()) {
-			expected += sensitivity(serving, share.getKey()) * share.getValue();
-			squares += share.getValue() * share.getValue();
+	void observe(String image, double ratio, Map<String, Double> shares) {
+		Serving serving = this.servingImages.computeIfAbsent(image, (key) -> new Serving());
+		for (String filling : shares.keySet()) {
+			this.fillingImages.putIfAbsent(filling, this.fillingImages.size());
 		}
-		double error = logarithm(ratio) - expected;
-		error = Math.max(-MAX_ERROR, Math.min(MAX_ERROR, error));
-		this.bases.put(serving, base + BASE_RATE * error);
+		double[] inputs = new double[this.fillingImages.size()];
+		double disturbance = 0;
 		for (Map.Entry<String, Double> share : shares.entrySet()) {
-			double step = SENSITIVITY_RATE * error * share.getValue() / (SHARE_FLOOR + squares);
-			double next = sensitivity(serving, share.getKey()) + step;
-			this.sensitivities.put(new Pair(serving, share.getKey()), Math.max(0, Math.min(MAX_SENSITIVITY, next)));
+			int index = this.fillingImages.get(share.getKey());
+			inputs[index] = share.getValue();
+			disturbance += sensitivity(image, share.getKey()) * share.getValue();
+		}
+		double difference = logarithm(ratio) - serving.base;
+		difference = Math.max(-MAX_DIFFERENCE, Math.min(MAX_DIFFERENCE, difference));
+		serving.base += BASE_RATE * (difference - disturbance);
+		if (!shares.isEmpty()) {
+			serving.regression.observe(inputs, difference);
 		}
 	}
 
@@ -71,7 +71,12 @@
 	 * @return the growth, at least 0
 	 */
 	double sensitivity(String serving, String filling) {
-		return this.sensitivities.getOrDefault(new Pair(serving, filling), UNSEEN);
+		Serving known = this.servingImages.get(serving);
+		Integer index = this.fillingImages.get(filling);
+		if (known == null || index == null) {
+			return UNSEEN;
+		}
+		return Math.max(0, known.regression.coefficient(index));
 	}
 
 	static double logarithm(double ratio) {
@@ -79,12 +84,14 @@
 	}
 
 	/**
-	 * Identifies a pair of images.
-	 *
-	 * @param serving the image of serving tasks
-	 * @param filling the image of filling tasks
+	 * What is known of one image of serving tasks.
 	 */
-	private record Pair(String serving, String filling) {
+	private static final class Serving {
+
+		private double base = INITIAL_BASE;
+
+		private final RidgeRegression regression = new RidgeRegression(UNSEEN, UNSEEN_WEIGHT, KEEP);
+
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -6,10 +6,9 @@
 import io.lentilstream.model.Resources;
 
 /**
- * Chooses the VM for a task. Serving tasks are packed together and filling tasks go where
- * nothing serves, so that they disturb each other little; other tasks go where most
- * processor time is free. Load pattern: filling work that arrives in bursts beside
- * serving tasks whose load swings.
+ * Chooses the VM for a task. Serving tasks are packed together by image and filling tasks
+ * go where they disturb nothing; other tasks go where most processor time is free. Load
+ * pattern: filling work that arrives in bursts beside serving tasks whose load swings.
  */
 final class PlacementRule {
 
@@ -94,6 +93,22 @@
 		return worst;
 	}
 
+	// Part of the serving tasks on the VM that share the image, from -1 to 1. Where
+	// images
+	// are kept apart, filling tasks find VMs on which they disturb nothing.
+	private static double likeImages(Task serving, Worker worker) {
+		if (worker.serving == 0) {
+			return 0;
+		}
+		int like = 0;
+		for (Run run : worker.runs.values()) {
+			if (run.task.spec().serves() && run.task.spec().image().equals(serving.spec().image())) {
+				like++;
+			}
+		}
+		return 2.0 * like / worker.serving - 1;
+	}
+
 	private double disturbance(Task filling, Worker worker) {
 		double sum = 0;
 		for (Run run : worker.runs.values()) {
@@ -121,7 +136,7 @@
 		}
 		if (spec.serves()) {
 			score -= BESIDE_FILLING * (free - unused);
-			return score + ((worker.serving > 0) ? 1 : 0) + 1 - free;
+			return score + likeImages(task, worker) + 1 - free;
 		}
 		return score + unused;
 	}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RidgeRegression.java
@@ -0,0 +1,102 @@
+package io.lentilstream.jobs.scheduling;
+
+import java.util.Arrays;
+
+/**
+ * Fits linear coefficients to observations as they come, with a prior and with
+ * exponential forgetting.
+ */
+final class RidgeRegression {
+
+	private final double prior;
+
+	private final double priorWeight;
+
+	private final double keep;
+
+	private double[][] squares = new double[0][0];
+
+	private double[] products = new double[0];
+
+	private double[] coefficients = new double[0];
+
+	private boolean stale;
+
+	/**
+	 * Creates a regression without observations.
+	 * @param prior the coefficients before any observation
+	 * @param priorWeight weight of the prior against the sum of squared inputs
+	 * @param keep part of the weight of former observations that each new one leaves
+	 */
+	RidgeRegression(double prior, double priorWeight, double keep) {
+		this.prior = prior;
+		this.priorWeight = priorWeight;
+		this.keep = keep;
+	}
+
+	/**
+	 * Takes in an observation.
+	 * @param inputs the inputs; there may be more than before
+	 * @param output the output
+	 */
+	void observe(double[] inputs, double output) {
+		grow(inputs.length);
+		for (int row = 0; row < this.products.length; row++) {
+			double input = (row < inputs.length) ? inputs[row] : 0;
+			this.products[row] = this.keep * this.products[row] + input * output;
+			for (int column = 0; column < this.products.length; column++) {
+				double other = (column < inputs.length) ? inputs[column] : 0;
+				this.squares[row][column] = this.keep * this.squares[row][column] + input * other;
+			}
+		}
+		this.stale = true;
+	}
+
+	double coefficient(int index) {
+		if (this.stale) {
+			this.stale = false;
+			solve();
+		}
+		return (index < this.coefficients.length) ? this.coefficients[index] : this.prior;
+	}
+
+	private void grow(int size) {
+		if (size <= this.products.length) {
+			return;
+		}
+		this.products = Arrays.copyOf(this.products, size);
+		double[][] larger = new double[size][];
+		for (int row = 0; row < size; row++) {
+			larger[row] = (row < this.squares.length) ? Arrays.copyOf(this.squares[row], size) : new double[size];
+		}
+		this.squares = larger;
+	}
+
+	// Gaussian elimination; the prior keeps the matrix positive definite.
+	private void solve() {
+		int size = this.products.length;
+		double[][] rows = new double[size][size + 1];
+		for (int row = 0; row < size; row++) {
+			System.arraycopy(this.squares[row], 0, rows[row], 0, size);
+			rows[row][row] += this.priorWeight;
+			rows[row][size] = this.products[row] + this.priorWeight * this.prior;
+		}
+		for (int pivot = 0; pivot < size; pivot++) {
+			for (int row = pivot + 1; row < size; row++) {
+				double factor = rows[row][pivot] / rows[pivot][pivot];
+				for (int column = pivot; column <= size; column++) {
+					rows[row][column] -= factor * rows[pivot][column];
+				}
+			}
+		}
+		this.coefficients = new double[size];
+		for (int row = size - 1; row >= 0; row--) {
+			double rest = rows[row][size];
+			for (int column = row + 1; column < size; column++) {
+				rest -= rows[row][column] * this.coefficients[column];
+			}
+			this.coefficients[row] = rest / rows[row][row];
+		}
+	}
+
+}
--- /dev/null
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -0,0 +1,67 @@
+package io.lentilstream.jobs.scheduling;
+
+import org.junit.jupiter.api.Test;
+
+import io.lentilstream.jobs.JobState;
+import io.lentilstream.jobs.JobSubmission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class TakeoverTests {
+
+	private final VirtualWorld world = new VirtualWorld(1);
+
+	@Test
+	void tasksWhoseEndIsStoredDoNotRunAgainAfterATakeover() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(4, 1000, 300),
+				VirtualWorld.step(4, 1000, 3000, 0));
+		this.world.clock.runFor(1500);
+		this.world.takeOver();
+		this.world.clock.runFor(10_000);
+		assertThat(this.world.state(job)).isEqualTo(JobState.COMPLETED);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void runningTasksAreAdoptedAfterATakeover() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(3, 1000, 4000));
+		this.world.clock.runFor(1000);
+		this.world.takeOver();
+		this.world.clock.runFor(3300);
+		assertThat(this.world.state(job)).isEqualTo(JobState.COMPLETED);
+		assertThat(this.world.log.stream().filter((line) -> line.contains("run-adopted"))).hasSize(3);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void aTaskOnAVmThatTheSuccessorCannotReachWaitsForTheEndOfItsLease() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 30_000));
+		this.world.clock.runFor(1000);
+		this.world.workers.get("w1").cut = true;
+		this.world.addWorker("w2");
+		this.world.takeOver();
+		this.world.clock.runFor(5000);
+		assertThat(this.world.workers.get("w2").running).isEmpty();
+		this.world.clock.runFor(8000);
+		assertThat(this.world.workers.get("w2").running).hasSize(1);
+		assertThat(this.world.state(job)).isEqualTo(JobState.RUNNING);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void aJobWhoseLastEndWasStoredUnderThePredecessorIsShownAsCompleted() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(2, 1000, 300));
+		this.world.clock.runFor(1500);
+		this.world.takeOver();
+		assertThat(this.world.state(job)).isEqualTo(JobState.COMPLETED);
+	}
+
+}
