Count a failed run once although its end is reported twice

The end of a failed run was stored, the leader was killed before the VM was told so, and the successor took the same end in again.

Change: progress keeps the numbers of the failed runs in place of a count.

Conclusion: ends are idempotent now.

--- a/jobs/src/main/java/io/lentilstream/jobs/JobProgress.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/JobProgress.java
@@ -23,11 +23,11 @@
 	 * @param step the number of the step
 	 * @param index the number of the task in its step
 	 * @param done whether a run ended as done
-	 * @param failures how many runs ended as failed
+	 * @param failedRuns numbers of the runs that ended as failed
 	 * @param lastRun the highest run number that was ordered
 	 * @param checkpoint the latest checkpoint; empty if there is none
 	 */
-	public record TaskProgress(int occurrence, int step, int index, boolean done, int failures, int lastRun,
+	public record TaskProgress(int occurrence, int step, int index, boolean done, List<Integer> failedRuns, int lastRun,
 			String checkpoint) {
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
@@ -49,7 +49,10 @@
 				packer.packInt(task.step());
 				packer.packInt(task.index());
 				packer.packBoolean(task.done());
-				packer.packInt(task.failures());
+				packer.packArrayHeader(task.failedRuns().size());
+				for (int run : task.failedRuns()) {
+					packer.packInt(run);
+				}
 				packer.packInt(task.lastRun());
 				packer.packString(task.checkpoint());
 			}
@@ -88,7 +91,7 @@
 			List<TaskProgress> tasks = new ArrayList<>();
 			for (int i = 0; i < count; i++) {
 				tasks.add(new TaskProgress(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(),
-						unpacker.unpackBoolean(), unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackString()));
+						unpacker.unpackBoolean(), unpackRuns(unpacker), unpacker.unpackInt(), unpacker.unpackString()));
 			}
 			return new JobProgress(job, JobState.values()[ordinal], endedAt, occurrences, tasks);
 		}
@@ -97,4 +100,13 @@
 		}
 	}
 
+	private static List<Integer> unpackRuns(MessageUnpacker unpacker) throws IOException {
+		int count = unpacker.unpackArrayHeader();
+		List<Integer> runs = new ArrayList<>();
+		for (int i = 0; i < count; i++) {
+			runs.add(unpacker.unpackInt());
+		}
+		return runs;
+	}
+
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/EndRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/EndRule.java
@@ -32,15 +32,15 @@
 	/**
 	 * Takes in the end of a run that the VM reported.
 	 * @param task the task
+	 * @param number the number of the run
 	 * @param run the run; {@code null} if this scheduler did not know it
 	 * @param worker the VM
 	 * @param how how it ended
 	 * @param checkpoint the latest checkpoint; empty if there is none
 	 * @param now the current time in milliseconds
 	 */
-	void ended(Task task, Run run, Worker worker, RunEnd how, String checkpoint, long now) {
-		this.state.log.note("task-ended", task.name, "worker", worker, "run", (run != null) ? run.number : 0, "how",
-				how);
+	void ended(Task task, int number, Run run, Worker worker, RunEnd how, String checkpoint, long now) {
+		this.state.log.note("task-ended", task.name, "worker", worker, "run", number, "how", how);
 		if (run != null) {
 			drop(run);
 		}
@@ -56,7 +56,7 @@
 			return;
 		}
 		if (how == RunEnd.FAILED && !task.spec().traits().longRunning()) {
-			failed(task, worker, now);
+			failed(task, number, worker, now);
 		}
 		else if (how == RunEnd.FAILED) {
 			task.failedOn = worker.id();
@@ -124,16 +124,18 @@
 		}
 	}
 
-	private void failed(Task task, Worker worker, long now) {
-		task.failures++;
+	private void failed(Task task, int number, Worker worker, long now) {
+		if (!task.failedRuns.add(number)) {
+			return;
+		}
 		task.failedOn = worker.id();
 		if (task.spec().traits().gang()) {
-			task.step.tasks.forEach((member) -> member.failures = Math.max(member.failures, task.failures));
+			task.step.tasks.forEach((member) -> member.failedRuns.add(number));
 		}
 		this.state.changed(task.job);
-		if (task.failures >= task.job.policy.maxAttempts()) {
-			this.opening.end(task.job, JobState.FAILED, "task " + task.name + " failed " + task.failures + " times",
-					now);
+		if (task.failedRuns.size() >= task.job.policy.maxAttempts()) {
+			this.opening.end(task.job, JobState.FAILED,
+					"task " + task.name + " failed " + task.failedRuns.size() + " times", now);
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -126,9 +126,9 @@
 
 	private static void collect(StepState step, List<JobProgress.TaskProgress> known) {
 		for (Task task : step.tasks) {
-			if (task.done || task.failures > 0 || !task.checkpoint.isEmpty()) {
+			if (task.done || !task.failedRuns.isEmpty() || !task.checkpoint.isEmpty()) {
 				known.add(new JobProgress.TaskProgress(task.name.occurrence(), task.name.step(), task.name.index(),
-						task.done, task.failures, task.lastRun, task.checkpoint));
+						task.done, List.copyOf(task.failedRuns), task.lastRun, task.checkpoint));
 			}
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -105,7 +105,7 @@
 			}
 			task.done = known.done();
 			task.step.done += known.done() ? 1 : 0;
-			task.failures = known.failures();
+			task.failedRuns.addAll(known.failedRuns());
 			task.lastRun = known.lastRun();
 			task.checkpoint = known.checkpoint();
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportRule.java
@@ -95,7 +95,7 @@
 		}
 		Run run = worker.runs.get(new Run.RunKey(end.task(), end.run()));
 		task.lastRun = Math.max(task.lastRun, end.run());
-		this.ends.ended(task, run, worker, end.how(), end.checkpoint(), now);
+		this.ends.ended(task, end.run(), run, worker, end.how(), end.checkpoint(), now);
 		worker.unstored.add(new Worker.UnstoredEnd(end.number(), task.job, task.job.version));
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -2,6 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
 
 import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.jobs.TaskName;
@@ -20,7 +22,8 @@
 
 	boolean done;
 
-	int failures;
+	/** Numbers of the runs that ended as failed; an end may be reported twice. */
+	final Set<Integer> failedRuns = new TreeSet<>();
 
 	int lastRun;
 
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -64,4 +64,24 @@
 		assertThat(this.world.state(job)).isEqualTo(JobState.COMPLETED);
 	}
 
+	@Test
+	void aFailureThatIsReportedAgainAfterATakeoverCountsOnce() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 300));
+		this.world.alwaysFails.add(job.id());
+		for (int i = 0; i < 200 && this.world.state(job) != JobState.FAILED; i++) {
+			int before = this.world.failures;
+			while (this.world.failures == before) {
+				this.world.clock.runFor(1);
+			}
+			// The end is stored, but the VM has not been told so.
+			this.world.clock.runFor(25);
+			this.world.takeOver();
+			this.world.clock.runFor(10);
+		}
+		assertThat(this.world.state(job)).isEqualTo(JobState.FAILED);
+		assertThat(this.world.failures).isEqualTo(3);
+	}
+
 }
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -144,6 +144,9 @@
 		if (how == RunEnd.DONE) {
 			this.world.done(task);
 		}
+		if (how == RunEnd.FAILED) {
+			this.world.failures++;
+		}
 	}
 
 	OrderAnswer stop(long fence, TaskName task, int run) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -50,6 +50,9 @@
 
 	long tick;
 
+	/** How many runs ended as failed. */
+	int failures;
+
 	/** Share of orders that get no answer. */
 	double unanswered;
 
