Keep VMs free of long-running tasks for short urgent ones

Change: long-running tasks join VMs that serve already; a VM without any is taken only while enough others stay free for the peak demand of short tasks (5% at least). Filling tasks use these VMs meanwhile.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -41,6 +41,8 @@
 
 	private final PlacementPass pass;
 
+	private final HeadroomRule headroom;
+
 	/** VMs that may run tasks of the predecessor, and until when in milliseconds. */
 	private final Map<WorkerId, Long> unsettled = new HashMap<>();
 
@@ -60,8 +62,9 @@
 		this.stops = new StopRule(this.state);
 		this.opening = new JobOpeningRule(this.state, this.stops, timeOfDay);
 		TrustRule trust = new TrustRule(this.state);
+		this.headroom = new HeadroomRule(this.state);
 		DisturbanceForecast forecast = new DisturbanceForecast(new InterferenceModel());
-		PlacementRule placement = new PlacementRule(forecast);
+		PlacementRule placement = new PlacementRule(forecast, this.headroom);
 		this.ends = new EndRule(this.state, this.stops, this.opening, trust);
 		StartRule starts = new StartRule(this.state, this.ends, trust);
 		this.reports = new ReportRule(this.state, starts, this.ends, this.stops, new PacingRule(this.state, forecast));
@@ -264,6 +267,7 @@
 				this.opening.openDue(job, now);
 			}
 		}
+		this.headroom.review();
 		for (Worker worker : this.state.workers.values()) {
 			this.stragglers.review(worker, now);
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -27,20 +27,35 @@
 	/** Part of its target that a serving task is meant to stay under. */
 	private static final double TAIL_GOAL = 0.8;
 
+	/** The same where a filling task is known to disturb; its effect comes in spikes. */
+	private static final double DISTURBED_TAIL_GOAL = 0.5;
+
+	/**
+	 * Growth of the logarithm of a tail from which a filling task counts as disturbing.
+	 */
+	private static final double DISTURBING = 0.1;
+
+	/** How much a disturbance weighs against unused processor time. */
+	private static final double DISTURBANCE_WEIGHT = 5;
+
 	/** Part of its request that a filling task must find unused. */
 	private static final double FILL_SHARE = 0.8;
 
 	private final DisturbanceForecast forecast;
 
-	PlacementRule(DisturbanceForecast forecast) {
+	private final HeadroomRule headroom;
+
+	PlacementRule(DisturbanceForecast forecast, HeadroomRule headroom) {
+		this.headroom = headroom;
 		this.forecast = forecast;
 	}
 
 	Worker choose(Task task, Collection<Worker> workers, String rack, long now) {
+		boolean joinsOnly = task.spec().traits().longRunning() && !this.headroom.mayTakeFreeWorker(task);
 		Worker best = null;
 		double bestScore = Double.NEGATIVE_INFINITY;
 		for (Worker worker : workers) {
-			if (!allowed(task, worker, rack, now)) {
+			if (joinsOnly && worker.servingDemand == 0 || !allowed(task, worker, rack, now)) {
 				continue;
 			}
 			double score = score(task, worker);
@@ -79,23 +94,26 @@
 		if (worker.serving == 0) {
 			return true;
 		}
-		return now - worker.pressedAt > PRESSED_MILLIS && worstTail(task, worker) < Math.log(TAIL_GOAL);
+		return now - worker.pressedAt > PRESSED_MILLIS && tailsStayLow(task, worker);
 	}
 
-	private double worstTail(Task filling, Worker worker) {
-		double worst = Double.NEGATIVE_INFINITY;
+	private boolean tailsStayLow(Task filling, Worker worker) {
 		double share = DisturbanceForecast.share(filling, worker);
 		for (Run run : worker.runs.values()) {
 			if (run.task.spec().serves()) {
-				worst = Math.max(worst, this.forecast.expected(run) + share * this.forecast.sensitivity(run, filling));
+				double growth = share * this.forecast.sensitivity(run, filling);
+				double goal = (growth > DISTURBING) ? DISTURBED_TAIL_GOAL : TAIL_GOAL;
+				if (this.forecast.expected(run) + growth > Math.log(goal)) {
+					return false;
+				}
 			}
 		}
-		return worst;
+		return true;
 	}
 
-	// Part of the serving tasks on the VM that share the image, from -1 to 1. Where
-	// images
-	// are kept apart, filling tasks find VMs on which they disturb nothing.
+	// From -1 if no serving task on the VM has the image to 1 if all have. Where images
+	// are
+	// kept apart, filling tasks find VMs on which they disturb nothing.
 	private static double likeImages(Task serving, Worker worker) {
 		if (worker.serving == 0) {
 			return 0;
@@ -132,7 +150,7 @@
 		double free = (double) worker.free().milliCores() / Math.max(1, capacity.milliCores());
 		double unused = free - (double) worker.fillDemand / Math.max(1, capacity.milliCores());
 		if (spec.traits().fills()) {
-			return score + spare(worker) - disturbance(task, worker);
+			return score + spare(worker) - DISTURBANCE_WEIGHT * disturbance(task, worker);
 		}
 		if (spec.serves()) {
 			score -= BESIDE_FILLING * (free - unused);
