Order waiting work by what can still be on time

Change: a task that misses the start for its objective waits by the start with which its job ends late. A pass skips tasks that need at least what was refused in it. Long-running tasks that have run before come first and may use the headroom.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/EndRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/EndRule.java
@@ -11,7 +11,7 @@
  */
 final class EndRule {
 
-	/** Pause before a task that ended badly starts again, in milliseconds. */
+	/** Pause before a task whose run was lost starts again, in milliseconds. */
 	private static final long RESTART_PAUSE_MILLIS = 20;
 
 	private final SchedulerState state;
@@ -61,9 +61,7 @@
 		else if (how == RunEnd.FAILED) {
 			task.failedOn = worker.id();
 		}
-		if (task.job.active()) {
-			again(task, now);
-		}
+		again(task);
 	}
 
 	/**
@@ -79,18 +77,17 @@
 		if (!run.checkpoint.isEmpty()) {
 			run.task.checkpoint = run.checkpoint;
 		}
-		again(run.task, now);
+		run.task.notBefore = now + RESTART_PAUSE_MILLIS;
+		again(run.task);
 	}
 
 	/**
 	 * Lets a task wait for its next start if nothing of it is left.
 	 * @param task the task
-	 * @param now the current time in milliseconds
 	 */
-	void again(Task task, long now) {
+	void again(Task task) {
 		if (task.job.active() && task.step.open && task.waiting()) {
-			task.notBefore = Math.max(task.notBefore, now + RESTART_PAUSE_MILLIS);
-			this.state.waiting.add(task);
+			this.state.await(task);
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -76,8 +76,15 @@
 	 */
 	long latestStart(int number, long begun) {
 		long before = this.chainMillis[number] - estimate(this.submission.steps().get(number));
-		double objective = this.policy.stretch() * this.longestChainMillis + this.policy.objectiveMillis();
-		return begun + (long) objective - (this.longestChainMillis - before);
+		return begun + objectiveMillis() - (this.longestChainMillis - before);
+	}
+
+	/**
+	 * Returns how long the job may take by its objective.
+	 * @return milliseconds
+	 */
+	long objectiveMillis() {
+		return (long) (this.policy.stretch() * this.longestChainMillis) + this.policy.objectiveMillis();
 	}
 
 	private static long estimate(StepSpec step) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobOpeningRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobOpeningRule.java
@@ -15,6 +15,9 @@
 	/** How far the clock of a caller or VM may be ahead, in milliseconds. */
 	private static final long CLOCK_MARGIN_MILLIS = 20;
 
+	/** How many times its objective a job may take and still be of some use. */
+	private static final int LATE_FACTOR = 3;
+
 	private final SchedulerState state;
 
 	private final StopRule stops;
@@ -67,8 +70,9 @@
 			step.open = true;
 			for (Task task : step.tasks) {
 				task.dueAt = job.latestStart(step.number, (occurrence == 0) ? job.learntAt : now);
+				task.lateDueAt = task.dueAt + (LATE_FACTOR - 1) * job.objectiveMillis();
 				if (task.waiting()) {
-					this.state.waiting.add(task);
+					this.state.await(task);
 				}
 			}
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -268,6 +268,7 @@
 			}
 		}
 		this.headroom.review();
+		this.pass.reorder(now);
 		for (Worker worker : this.state.workers.values()) {
 			this.stragglers.review(worker, now);
 		}
@@ -283,16 +284,16 @@
 		});
 		if (this.unsettled.isEmpty()) {
 			this.state.log.note("takeover-settled", "scheduler", "workers", this.state.workers.size());
-			this.state.jobs.values().forEach((job) -> settled(job, now));
+			this.state.jobs.values().forEach((job) -> settled(job));
 		}
 	}
 
-	private void settled(Job job, long now) {
+	private void settled(Job job) {
 		for (List<StepState> steps : job.occurrences.values()) {
 			for (StepState step : steps) {
 				for (Task task : step.tasks) {
 					task.unsettled = false;
-					this.ends.again(task, now);
+					this.ends.again(task);
 				}
 			}
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
@@ -61,22 +61,6 @@
 			return;
 		}
 		learn(serving, filling);
-		StringBuilder b = new StringBuilder();
-		for (Run run : worker.runs.values()) {
-			b.append(run.task.spec().serves() ? "S" : run.task.spec().traits().fills() ? "F" : "N")
-				.append(',')
-				.append(run.task.spec().image())
-				.append(',')
-				.append(run.task.spec().size().milliCores())
-				.append(',')
-				.append(run.figure)
-				.append(',')
-				.append(run.task.spec().targetMillis())
-				.append(',')
-				.append(run.pace)
-				.append(';');
-		}
-		this.state.log.note("vm-load", worker, "cap", worker.listing.capacity().milliCores(), "runs", b);
 		double pressure = serving.stream().mapToDouble(DisturbanceForecast::ratio).max().orElse(0);
 		worker.pressedSince = (pressure < 1) ? -1 : (worker.pressedSince < 0) ? now : worker.pressedSince;
 		if (pressure >= 1) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -1,6 +1,7 @@
 package io.lentilstream.jobs.scheduling;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -8,6 +9,10 @@
 import java.util.Map;
 import java.util.Set;
 
+import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.model.Resources;
+import io.lentilstream.model.ServiceName;
+
 /**
  * Goes through the waiting tasks in order and starts what fits. A step that does not fit
  * is passed over, so that smaller work behind it is not held up; the members of a gang
@@ -15,9 +20,6 @@
  */
 final class PlacementPass {
 
-	/** Steps without room after which a pass ends. */
-	private static final int GIVE_UP_AFTER = 60;
-
 	private static final String ANY_RACK = "";
 
 	private final SchedulerState state;
@@ -38,20 +40,41 @@
 	 */
 	void run(long now) {
 		Set<StepState> full = new HashSet<>();
+		Map<Need, Resources> refused = new HashMap<>();
 		for (Task task : List.copyOf(this.state.waiting)) {
-			if (full.contains(task.step) || task.notBefore > now || !this.state.waiting.contains(task)) {
+			if (task.notBefore > now || full.contains(task.step) || !this.state.waiting.contains(task)) {
+				continue;
+			}
+			Need need = Need.of(task);
+			Resources least = refused.get(need);
+			if (least != null && least.fitsWithin(task.spec().size())) {
 				continue;
 			}
 			boolean started = task.spec().traits().gang() ? startGang(task.step, now) : start(task, now);
 			if (!started) {
 				full.add(task.step);
-				if (full.size() >= GIVE_UP_AFTER) {
-					return;
+				if (need.comparable()) {
+					refused.put(need, task.spec().size());
 				}
 			}
 		}
 	}
 
+	/**
+	 * Moves tasks that have missed the start for their objective to the place in the
+	 * waiting order that their job's lateness gives them.
+	 * @param now the current time in milliseconds
+	 */
+	void reorder(long now) {
+		for (Task task : List.copyOf(this.state.waiting)) {
+			if (task.dueAt < now && task.dueAt != Long.MAX_VALUE) {
+				this.state.waiting.remove(task);
+				task.dueAt = (task.lateDueAt >= now) ? task.lateDueAt : Long.MAX_VALUE;
+				this.state.waiting.add(task);
+			}
+		}
+	}
+
 	private boolean start(Task task, long now) {
 		String rack = task.spec().placement().sameRack() ? rackOf(task.step) : ANY_RACK;
 		Worker worker = this.placement.choose(task, this.state.workers.values(), rack, now);
@@ -123,4 +146,28 @@
 		return places;
 	}
 
+	/**
+	 * Says what kind of VM a task needs. If one task finds none, a task of the same need
+	 * that is no smaller finds none either.
+	 *
+	 * @param service the service whose VMs may run it
+	 * @param kind whether it fills or is long-running
+	 * @param image the image, which decides where a filling task disturbs
+	 * @param placement the limits on where it may run
+	 */
+	private record Need(ServiceName service, String kind, String image, StepSpec.Placement placement) {
+
+		static Need of(Task task) {
+			StepSpec spec = task.spec();
+			String kind = spec.traits().fills() ? "filling" : String.valueOf(spec.traits().longRunning());
+			return new Need(task.job.policy.service(), kind, spec.traits().fills() ? spec.image() : "",
+					spec.placement());
+		}
+
+		boolean comparable() {
+			return this.placement.maxPerWorker() == 0 && !this.placement.sameRack();
+		}
+
+	}
+
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -51,14 +51,15 @@
 	}
 
 	Worker choose(Task task, Collection<Worker> workers, String rack, long now) {
-		boolean joinsOnly = task.spec().traits().longRunning() && !this.headroom.mayTakeFreeWorker(task);
+		boolean joins = task.spec().traits().longRunning() && !this.headroom.mayTakeFreeWorker(task);
 		Worker best = null;
 		double bestScore = Double.NEGATIVE_INFINITY;
 		for (Worker worker : workers) {
-			if (joinsOnly && worker.servingDemand == 0 || !allowed(task, worker, rack, now)) {
+			boolean headroomOnly = joins && worker.servingDemand == 0;
+			if (headroomOnly && !task.restarts || !allowed(task, worker, rack, now)) {
 				continue;
 			}
-			double score = score(task, worker);
+			double score = score(task, worker) - (headroomOnly ? NEAR_DATA : 0);
 			if (score > bestScore) {
 				best = worker;
 				bestScore = score;
@@ -144,7 +145,7 @@
 		if (spec.placement().affinityRack().equals(worker.listing.rack())) {
 			score += NEAR_DATA;
 		}
-		if (worker.id().equals(task.failedOn)) {
+		if (worker.id().equals(task.failedOn) && !spec.traits().longRunning()) {
 			score -= NEAR_DATA;
 		}
 		double free = (double) worker.free().milliCores() / Math.max(1, capacity.milliCores());
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -61,6 +61,13 @@
 		return (job != null) ? job.find(name.occurrence(), name.step(), name.index()) : null;
 	}
 
+	void await(Task task) {
+		if (!this.waiting.contains(task)) {
+			task.restarts = task.lastRun > 0;
+			this.waiting.add(task);
+		}
+	}
+
 	void changed(Job job) {
 		job.version++;
 		this.changed.add(job);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
@@ -33,11 +33,11 @@
 	}
 
 	void start(Task task, Worker worker, int number, long now) {
+		this.state.waiting.remove(task);
 		Run run = new Run(task, number, worker, now);
 		task.lastRun = number;
 		task.runs.add(run);
 		worker.add(run);
-		this.state.waiting.remove(task);
 		this.state.log.note("start-ordered", task.name, "worker", worker, "run", number, "waited-ms",
 				now - Math.max(task.job.learntAt, 0), "free-mcores", worker.free().milliCores());
 		long deadline = worker.lease.extend(now, this.state.settings.maxLeaseMillis());
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -41,6 +41,12 @@
 	/** Key of the waiting order: the time by which the task should start. */
 	long dueAt;
 
+	/** When the task has to start for its job to end late rather than far too late. */
+	long lateDueAt;
+
+	/** Whether the task has run before, when it last began to wait. */
+	boolean restarts;
+
 	final List<Run> runs = new ArrayList<>(1);
 
 	Task(Job job, StepState step, int index) {
@@ -53,6 +59,18 @@
 		return this.step.spec;
 	}
 
+	/**
+	 * Ranks the task among those of its priority: long-running tasks that have to be back
+	 * come first, those that have not run yet last.
+	 * @return the rank, from 0
+	 */
+	int rank() {
+		if (!spec().traits().longRunning()) {
+			return 1;
+		}
+		return this.restarts ? 0 : 2;
+	}
+
 	boolean waiting() {
 		return !this.done && !this.unsettled && this.runs.isEmpty();
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitingOrder.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitingOrder.java
@@ -3,15 +3,21 @@
 import java.util.Comparator;
 
 /**
- * Orders waiting tasks: the queue's priority first, then the time by which a task has to
- * start for its job to meet its objective. Load pattern: a burst of wide, deferrable jobs
- * beside short urgent ones, where first-in-first-out would hold the short ones up.
+ * Orders waiting tasks: the queue's priority first, long-running tasks that have to be
+ * back, short tasks, long-running tasks that have not run yet, then the time by which a
+ * task has to start. A task that has missed the start for its objective waits by the
+ * start with which its job ends late, and after that behind all others. Load pattern: a
+ * burst of more deferrable work than fits, where each job would otherwise end just too
+ * late.
  */
 final class WaitingOrder implements Comparator<Task> {
 
 	@Override
 	public int compare(Task first, Task second) {
 		int order = Integer.compare(first.job.policy.priority(), second.job.policy.priority());
+		if (order == 0) {
+			order = Integer.compare(first.rank(), second.rank());
+		}
 		if (order == 0) {
 			order = Long.compare(first.dueAt, second.dueAt);
 		}
