--- /dev/null
+++ b/control/src/test/java/io/lentilstream/control/api/SubmissionLogTests.java
@@ -0,0 +1,86 @@
+package io.lentilstream.control.api;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import io.lentilstream.control.ManualLoop;
+import io.lentilstream.control.store.MemoryStore;
+import io.lentilstream.control.term.JobKeys;
+import io.lentilstream.jobs.JobSubmission;
+import io.lentilstream.jobs.QueuePolicy;
+import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.model.JobId;
+import io.lentilstream.model.Resources;
+import io.lentilstream.model.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class SubmissionLogTests {
+
+	private final ManualLoop loop = new ManualLoop();
+
+	private final MemoryStore store = new MemoryStore(this.loop);
+
+	private final SubmissionLog log = new SubmissionLog(this.store);
+
+	private final List<SubmissionLog.Outcome> outcomes = new ArrayList<>();
+
+	@Test
+	void aStoredSubmissionIsAcceptedOnceAndAgainForARepeatedCall() {
+		this.log.store(job("job-1"), this.outcomes::add);
+		this.loop.runFor(50);
+		this.log.store(job("job-1"), this.outcomes::add);
+		this.loop.runFor(50);
+		assertThat(this.outcomes).containsExactly(SubmissionLog.Outcome.STORED, SubmissionLog.Outcome.STORED);
+	}
+
+	@Test
+	void aSubmissionThatTheStoreRefusesIsNotStored() {
+		this.store.mode = MemoryStore.Mode.REFUSES;
+		this.log.store(job("job-1"), this.outcomes::add);
+		this.loop.runFor(5000);
+		assertThat(this.outcomes).containsExactly(SubmissionLog.Outcome.REFUSED);
+		assertThat(this.store.value(JobKeys.submission(new JobId("job-1")))).isNull();
+	}
+
+	@Test
+	void aLostAnswerIsResolvedByTheRepeatedCommit() {
+		this.store.mode = MemoryStore.Mode.LOSES_ANSWERS;
+		this.log.store(job("job-1"), this.outcomes::add);
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(1000);
+		assertThat(this.outcomes).containsExactly(SubmissionLog.Outcome.STORED);
+	}
+
+	@Test
+	void aRefusalAfterALostAnswerIsNotTakenForNotStored() {
+		this.store.mode = MemoryStore.Mode.APPLIES_LATE;
+		this.log.store(job("job-1"), this.outcomes::add);
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.REFUSES;
+		this.loop.runFor(5000);
+		assertThat(this.outcomes).containsExactly(SubmissionLog.Outcome.UNKNOWN);
+		assertThat(this.store.value(JobKeys.submission(new JobId("job-1")))).isNotNull();
+	}
+
+	@Test
+	void aBurstOfSubmissionsTakesFewCommits() {
+		for (int i = 0; i < 100; i++) {
+			this.log.store(job("job-" + i), this.outcomes::add);
+		}
+		this.loop.runFor(200);
+		assertThat(this.outcomes).hasSize(100).containsOnly(SubmissionLog.Outcome.STORED);
+		assertThat(this.store.commits).isLessThanOrEqualTo(9);
+	}
+
+	static JobSubmission job(String id) {
+		StepSpec step = new StepSpec(1, new Resources(1000, 100, 0), 500, List.of(), StepSpec.Traits.NONE,
+				StepSpec.Placement.ANYWHERE, "", 0, -1);
+		return new JobSubmission(new JobId(id), "queue", new QueuePolicy(new ServiceName("press"), 0, 2, 2, 500),
+				"payload", List.of(step), JobSubmission.Schedule.ONCE, 5);
+	}
+
+}
--- /dev/null
+++ b/control/src/test/java/io/lentilstream/control/store/PrefixFollowerTests.java
@@ -0,0 +1,62 @@
+package io.lentilstream.control.store;
+
+import java.util.ArrayList;
+import java.util.List;
+
+import org.junit.jupiter.api.Test;
+
+import io.lentilstream.control.ManualLoop;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class PrefixFollowerTests {
+
+	private final ManualLoop loop = new ManualLoop();
+
+	private final MemoryStore store = new MemoryStore(this.loop);
+
+	private final List<String> seen = new ArrayList<>();
+
+	private final PrefixFollower follower = new PrefixFollower(this.loop, this.store, (decision, subject, inputs) -> {
+	}, "a/", new PrefixFollower.Pace(1000, 0), (item) -> this.seen.add(item.key() + (item.exists() ? "" : " deleted")));
+
+	@Test
+	void itemsAndLaterChangesAreDelivered() {
+		this.store.put("a/1", new byte[1]);
+		this.follower.start();
+		this.loop.runFor(100);
+		this.store.put("a/2", new byte[1]);
+		this.store.put("b/3", new byte[1]);
+		this.loop.runFor(100);
+		assertThat(this.seen).containsExactly("a/1", "a/2");
+	}
+
+	@Test
+	void aDeletionThatTheHistoryLostIsNoticedByReadingAgain() {
+		this.store.put("a/1", new byte[1]);
+		this.store.put("a/2", new byte[1]);
+		this.follower.start();
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.SILENT;
+		this.loop.runFor(1500);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.store.commit(new Commit().delete("a/1"), (reply) -> {
+		});
+		this.loop.runFor(5);
+		this.store.compact();
+		this.loop.runFor(3000);
+		assertThat(this.seen).contains("a/1 deleted").doesNotContain("a/2 deleted");
+	}
+
+	@Test
+	void anOutageIsEndedByTheNextAnswer() {
+		this.follower.start();
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.REFUSES;
+		this.loop.runFor(3000);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(300);
+		assertThat(this.loop.now() - this.follower.reachedAt()).isLessThan(300);
+	}
+
+}
