--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitingOrder.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitingOrder.java
@@ -18,6 +18,9 @@
 		if (order == 0) {
 			order = Integer.compare(first.rank(), second.rank());
 		}
+		if (order == 0 && first.rank() > 1) {
+			order = compareFirstRuns(first, second);
+		}
 		if (order == 0) {
 			order = Long.compare(first.dueAt, second.dueAt);
 		}
@@ -33,4 +36,12 @@
 		return (order != 0) ? order : Integer.compare(first.name.index(), second.name.index());
 	}
 
+	// Each job's first task comes before any job's second one, and large tasks come
+	// before
+	// small ones, which find room anyway.
+	private static int compareFirstRuns(Task first, Task second) {
+		int order = Integer.compare(first.name.index(), second.name.index());
+		return (order != 0) ? order : Long.compare(second.spec().size().milliCores(), first.spec().size().milliCores());
+	}
+
 }
