--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -17,7 +17,7 @@
 	private static final double BESIDE_FILLING = 2;
 
 	/** Part of its request that a serving task is assumed to use. */
-	private static final double SERVING_USE = 0.6;
+	private static final double SERVING_USE = 0.45;
 
 	/**
 	 * For how long filling tasks keep away after a target was missed, in milliseconds.
