--- a/control/src/main/java/io/lentilstream/control/term/JobKeys.java
+++ b/control/src/main/java/io/lentilstream/control/term/JobKeys.java
@@ -24,6 +24,9 @@
 	/** The VMs to which the leader may have given orders. */
 	public static final String WORKERS = "lentilstream/workers";
 
+	/** What was learnt about images that disturb each other. */
+	public static final String INTERFERENCE = "lentilstream/interference";
+
 	private JobKeys() {
 	}
 
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -20,10 +20,12 @@
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
+import io.lentilstream.jobs.KnownInterference;
 import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
 import io.lentilstream.jobs.codec.DecodeException;
+import io.lentilstream.jobs.codec.InterferenceCodec;
 import io.lentilstream.jobs.codec.ProgressCodec;
 import io.lentilstream.jobs.codec.SubmissionCodec;
 import io.lentilstream.jobs.scheduling.JobScheduler;
@@ -46,6 +48,9 @@
 
 	private static final long RETRY_MILLIS = 200;
 
+	/** Time between two snapshots of what was learnt about images, in milliseconds. */
+	private static final long SNAPSHOT_MILLIS = 4000;
+
 	/** Jobs that are deleted in one commit; each has three items. */
 	private static final int JOBS_PER_CLEANING = 10;
 
@@ -133,6 +138,7 @@
 		RangeReader.readAll(this.store, JobKeys.INTAKE, loading::intakeRead);
 		RangeReader.readAll(this.store, JobKeys.PROGRESS, loading::progressRead);
 		this.store.read(JobKeys.WORKERS, loading::workersRead);
+		this.store.read(JobKeys.INTERFERENCE, loading::interferenceRead);
 	}
 
 	/**
@@ -230,6 +236,7 @@
 			.decode(loading.workers.value(), (ex) -> this.log.note("workers-unreadable", JobKeys.WORKERS, "error", ex))
 				: List.of();
 		this.register.loaded(loading.workers, predecessorWorkers);
+		expectInterference(loading.interference);
 		this.begun = true;
 		this.scheduler.policies(this.policies);
 		cancelled.forEach(this.scheduler::cancel);
@@ -241,6 +248,38 @@
 		turn();
 		review();
 		clean();
+		this.loop.after(SNAPSHOT_MILLIS, this::storeInterference);
+	}
+
+	private void expectInterference(StoredItem item) {
+		if (!item.exists()) {
+			return;
+		}
+		try {
+			this.scheduler.expect(InterferenceCodec.decode(item.value()));
+		}
+		catch (DecodeException ex) {
+			this.log.note("interference-unreadable", item.key(), "error", ex);
+		}
+	}
+
+	private void storeInterference() {
+		if (this.stopped) {
+			return;
+		}
+		this.loop.after(SNAPSHOT_MILLIS, this::storeInterference);
+		KnownInterference known = this.scheduler.knownInterference();
+		if (known.pairs().isEmpty()) {
+			return;
+		}
+		Commit commit = new Commit().require(Leadership.LEADER_KEY, this.token)
+			.write(JobKeys.INTERFERENCE, InterferenceCodec.encode(known), 0);
+		this.store.commit(commit, (reply) -> {
+			if (!(reply instanceof StoreReply.Ok<Long>)) {
+				// The next snapshot replaces this one.
+				this.log.note("interference-not-stored", this.token, "reply", reply);
+			}
+		});
 	}
 
 	private void load(JobId job, StoredItem submission, StoredItem progress) {
@@ -336,6 +375,8 @@
 
 		private StoredItem workers;
 
+		private StoredItem interference;
+
 		private boolean failed;
 
 		void intakeRead(StoreReply<MetadataStore.Page> reply) {
@@ -359,6 +400,13 @@
 			next(reply);
 		}
 
+		void interferenceRead(StoreReply<StoredItem> reply) {
+			if (reply instanceof StoreReply.Ok<StoredItem> item) {
+				this.interference = item.value();
+			}
+			next(reply);
+		}
+
 		private void next(StoreReply<?> reply) {
 			if (Term.this.stopped || this.failed) {
 				return;
@@ -369,7 +417,7 @@
 				Term.this.loop.after(RETRY_MILLIS, Term.this::start);
 				return;
 			}
-			if (this.intake != null && this.progress != null && this.workers != null) {
+			if (this.intake != null && this.progress != null && this.workers != null && this.interference != null) {
 				begin(this);
 			}
 		}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/KnownInterference.java
@@ -0,0 +1,28 @@
+package io.lentilstream.jobs;
+
+import java.util.List;
+
+/**
+ * Is what was learnt about images that disturb each other, to be handed to a successor.
+ *
+ * @param pairs the pairs of images that were seen together
+ */
+public record KnownInterference(List<Pair> pairs) {
+
+	/**
+	 * Nothing is known.
+	 */
+	public static final KnownInterference NONE = new KnownInterference(List.of());
+
+	/**
+	 * Is a pair of images.
+	 *
+	 * @param serving the image of serving tasks
+	 * @param filling the image of filling tasks
+	 * @param sensitivity growth of the logarithm of the serving task's tail for each
+	 * whole VM that the filling tasks use
+	 */
+	public record Pair(String serving, String filling, double sensitivity) {
+	}
+
+}
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/InterferenceCodec.java
@@ -0,0 +1,65 @@
+package io.lentilstream.jobs.codec;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
+import org.msgpack.core.MessagePackException;
+import org.msgpack.core.MessageUnpacker;
+
+import io.lentilstream.jobs.KnownInterference;
+
+/**
+ * Encodes what was learnt about images as a MessagePack array.
+ */
+public final class InterferenceCodec {
+
+	private static final int FIELDS = 3;
+
+	private InterferenceCodec() {
+	}
+
+	/**
+	 * Encodes pairs of images.
+	 * @param known the pairs
+	 * @return the bytes
+	 */
+	public static byte[] encode(KnownInterference known) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packArrayHeader(known.pairs().size() * FIELDS);
+			for (KnownInterference.Pair pair : known.pairs()) {
+				packer.packString(pair.serving());
+				packer.packString(pair.filling());
+				packer.packFloat((float) pair.sensitivity());
+			}
+			return packer.toByteArray();
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("a buffer in memory failed", ex);
+		}
+	}
+
+	/**
+	 * Decodes pairs of images.
+	 * @param bytes the bytes
+	 * @return the pairs
+	 * @throws DecodeException if the bytes are not pairs of images
+	 */
+	public static KnownInterference decode(byte[] bytes) throws DecodeException {
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
+			int count = unpacker.unpackArrayHeader() / FIELDS;
+			List<KnownInterference.Pair> pairs = new ArrayList<>();
+			for (int i = 0; i < count; i++) {
+				pairs.add(new KnownInterference.Pair(unpacker.unpackString(), unpacker.unpackString(),
+						unpacker.unpackFloat()));
+			}
+			return new KnownInterference(pairs);
+		}
+		catch (IOException | MessagePackException ex) {
+			throw new DecodeException("pairs of images cannot be read", ex);
+		}
+	}
+
+}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
@@ -1,8 +1,12 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
+import io.lentilstream.jobs.KnownInterference;
+
 /**
  * Learns how much filling tasks of each image lengthen the tail of serving tasks of each
  * image. The logarithm of a tail is modelled as a base of the serving image plus, for
@@ -79,6 +83,32 @@
 		return Math.max(0, known.regression.coefficient(index));
 	}
 
+	/**
+	 * Returns what was learnt.
+	 * @return the pairs of images that may have been seen together
+	 */
+	KnownInterference known() {
+		List<KnownInterference.Pair> pairs = new ArrayList<>();
+		for (String serving : this.servingImages.keySet()) {
+			for (String filling : this.fillingImages.keySet()) {
+				pairs.add(new KnownInterference.Pair(serving, filling, sensitivity(serving, filling)));
+			}
+		}
+		return new KnownInterference(pairs);
+	}
+
+	/**
+	 * Starts from what a predecessor learnt.
+	 * @param known the pairs of images
+	 */
+	void expect(KnownInterference known) {
+		for (KnownInterference.Pair pair : known.pairs()) {
+			this.fillingImages.putIfAbsent(pair.filling(), this.fillingImages.size());
+			this.servingImages.computeIfAbsent(pair.serving(), (key) -> new Serving()).regression
+				.expect(this.fillingImages.get(pair.filling()), pair.sensitivity());
+		}
+	}
+
 	static double logarithm(double ratio) {
 		return Math.log(Math.max(SMALLEST_RATIO, ratio));
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -13,6 +13,7 @@
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
+import io.lentilstream.jobs.KnownInterference;
 import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
@@ -43,6 +44,8 @@
 
 	private final HeadroomRule headroom;
 
+	private final InterferenceModel interference = new InterferenceModel();
+
 	/** VMs that may run tasks of the predecessor, and until when in milliseconds. */
 	private final Map<WorkerId, Long> unsettled = new HashMap<>();
 
@@ -63,7 +66,7 @@
 		this.opening = new JobOpeningRule(this.state, this.stops, timeOfDay);
 		TrustRule trust = new TrustRule(this.state);
 		this.headroom = new HeadroomRule(this.state);
-		DisturbanceForecast forecast = new DisturbanceForecast(new InterferenceModel());
+		DisturbanceForecast forecast = new DisturbanceForecast(this.interference);
 		PlacementRule placement = new PlacementRule(forecast, this.headroom);
 		this.ends = new EndRule(this.state, this.stops, this.opening, trust);
 		StartRule starts = new StartRule(this.state, this.ends, trust);
@@ -129,6 +132,22 @@
 		this.state.waiting.removeIf((task) -> task.unsettled);
 	}
 
+	/**
+	 * Starts from what a predecessor learnt about images.
+	 * @param known the pairs of images
+	 */
+	public void expect(KnownInterference known) {
+		this.interference.expect(known);
+	}
+
+	/**
+	 * Returns what was learnt about images.
+	 * @return the pairs of images
+	 */
+	public KnownInterference knownInterference() {
+		return this.interference.known();
+	}
+
 	/**
 	 * Begins to give orders after the stored jobs were loaded.
 	 * @param predecessorWorkers the VMs to which the predecessor may have given orders
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RidgeRegression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RidgeRegression.java
@@ -10,6 +10,8 @@
 
 	private final double prior;
 
+	private double[] priors = new double[0];
+
 	private final double priorWeight;
 
 	private final double keep;
@@ -57,7 +59,26 @@
 			this.stale = false;
 			solve();
 		}
-		return (index < this.coefficients.length) ? this.coefficients[index] : this.prior;
+		return (index < this.coefficients.length) ? this.coefficients[index] : priorOf(index);
+	}
+
+	/**
+	 * Replaces the prior of one coefficient.
+	 * @param index the index of the coefficient
+	 * @param value the prior
+	 */
+	void expect(int index, double value) {
+		int former = this.priors.length;
+		if (index >= former) {
+			this.priors = Arrays.copyOf(this.priors, index + 1);
+			Arrays.fill(this.priors, former, index, this.prior);
+		}
+		this.priors[index] = value;
+		this.stale = true;
+	}
+
+	private double priorOf(int index) {
+		return (index < this.priors.length) ? this.priors[index] : this.prior;
 	}
 
 	private void grow(int size) {
@@ -79,7 +100,7 @@
 		for (int row = 0; row < size; row++) {
 			System.arraycopy(this.squares[row], 0, rows[row], 0, size);
 			rows[row][row] += this.priorWeight;
-			rows[row][size] = this.products[row] + this.priorWeight * this.prior;
+			rows[row][size] = this.products[row] + this.priorWeight * priorOf(row);
 		}
 		for (int pivot = 0; pivot < size; pivot++) {
 			for (int row = pivot + 1; row < size; row++) {
