Count all long-running tasks for the headroom; probe VMs that fail

Change: the headroom counts what long-running tasks reserve. A VM that failed gets one run after the time of being avoided, and more once a run is done there.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomRule.java
@@ -33,7 +33,7 @@
 	void review() {
 		long demand = 0;
 		for (Worker worker : this.state.workers.values()) {
-			demand += worker.plainDemand();
+			demand += worker.reserved.milliCores() - worker.lastingDemand;
 		}
 		for (Task task : this.state.waiting) {
 			if (!task.spec().traits().longRunning() && !task.spec().traits().fills()) {
@@ -59,7 +59,7 @@
 			}
 			long cores = worker.listing.capacity().milliCores();
 			capacity += cores;
-			if (worker.servingDemand == 0) {
+			if (worker.lastingDemand == 0) {
 				free += cores;
 				largest = Math.max(largest, cores);
 			}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -55,7 +55,7 @@
 		Worker best = null;
 		double bestScore = Double.NEGATIVE_INFINITY;
 		for (Worker worker : workers) {
-			boolean headroomOnly = joins && worker.servingDemand == 0;
+			boolean headroomOnly = joins && worker.lastingDemand == 0;
 			if (headroomOnly && !task.restarts || !allowed(task, worker, rack, now)) {
 				continue;
 			}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
@@ -38,6 +38,7 @@
 		task.lastRun = number;
 		task.runs.add(run);
 		worker.add(run);
+		worker.ordersSinceAvoided++;
 		this.state.log.note("start-ordered", task.name, "worker", worker, "run", number, "waited-ms",
 				now - Math.max(task.job.learntAt, 0), "free-mcores", worker.free().milliCores());
 		long deadline = worker.lease.extend(now, this.state.settings.maxLeaseMillis());
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TrustRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TrustRule.java
@@ -3,13 +3,14 @@
 import io.lentilstream.jobs.RunEnd;
 
 /**
- * Keeps work from VMs that fail what they get. Load pattern: a VM that fails every start
- * is empty all the time and would draw the whole queue.
+ * Keeps work from VMs that fail what they get. After a time one run at a time probes such
+ * a VM until one is done. Load pattern: a VM that fails every start is empty all the time
+ * and would draw the whole queue.
  */
 final class TrustRule {
 
 	/** Failures in a row after which a VM is avoided. */
-	private static final int SUSPICIOUS = 2;
+	static final int SUSPICIOUS = 2;
 
 	/** First time for which a VM is avoided, in milliseconds. */
 	private static final long AVOID_MILLIS = 1500;
@@ -36,6 +37,7 @@
 	}
 
 	void avoid(Worker worker, long millis, String reason, long now) {
+		worker.ordersSinceAvoided = 0;
 		worker.avoidUntil = Math.max(worker.avoidUntil, now + Math.min(millis, MAX_AVOID_MILLIS));
 		this.state.log.note("worker-avoided", worker, "until-ms", worker.avoidUntil, "reason", reason, "failures",
 				worker.failuresInRow);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -41,6 +41,12 @@
 	/** Processor time that serving tasks request, in thousandths of a core. */
 	long servingDemand;
 
+	/** Processor time that long-running tasks reserve, in thousandths of a core. */
+	long lastingDemand;
+
+	/** Runs that were ordered since the VM was last avoided. */
+	int ordersSinceAvoided;
+
 	/** The highest number of an end that was taken in. */
 	long lastEnd;
 
@@ -124,6 +130,7 @@
 		this.fillDemand += spec.traits().fills() ? spec.size().milliCores() : 0;
 		this.serving += spec.serves() ? 1 : 0;
 		this.servingDemand += spec.serves() ? spec.size().milliCores() : 0;
+		this.lastingDemand += spec.traits().longRunning() ? spec.reserved().milliCores() : 0;
 	}
 
 	void remove(Run run) {
@@ -135,6 +142,7 @@
 		this.fillDemand -= spec.traits().fills() ? spec.size().milliCores() : 0;
 		this.serving -= spec.serves() ? 1 : 0;
 		this.servingDemand -= spec.serves() ? spec.size().milliCores() : 0;
+		this.lastingDemand -= spec.traits().longRunning() ? spec.reserved().milliCores() : 0;
 	}
 
 	/**
@@ -154,7 +162,8 @@
 
 	boolean takesWork(long now) {
 		return this.opened && this.unlistedSince < 0 && !this.listing.draining() && this.silent == 0
-				&& now >= this.avoidUntil;
+				&& now >= this.avoidUntil
+				&& (this.failuresInRow < TrustRule.SUSPICIOUS || this.ordersSinceAvoided == 0);
 	}
 
 	void acknowledgeStored() {
