--- a/cli/src/main/java/io/lentilstream/cli/CommandTable.java
+++ b/cli/src/main/java/io/lentilstream/cli/CommandTable.java
@@ -10,6 +10,7 @@
 import io.lentilstream.cli.admin.StatusCommand;
 import io.lentilstream.cli.admin.TasksCommand;
 import io.lentilstream.cli.admin.TeamsCommand;
+import io.lentilstream.cli.explain.ExplainCommand;
 
 /**
  * Lists the commands by name. A new command is one more line in {@link #standard()}.
@@ -29,7 +30,8 @@
 			.with("requests", RequestsCommand::new)
 			.with("status", StatusCommand::new)
 			.with("drain", DrainCommand::new)
-			.with("bench", BenchCommand::new);
+			.with("bench", BenchCommand::new)
+			.with("explain", ExplainCommand::new);
 	}
 
 	CommandTable with(String name, Supplier<Command> command) {
