Never call a job refused that may be stored

Change: a process remembers submissions whose outcome is unknown and does not call their repeats refused. While the store is away it asks the leader, which may know the job, before it refuses.

Conclusion: a repeat that reaches another process that is cut off from store and leader can still be refused; noted as a question.

--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -51,6 +51,9 @@
 
 	private final Map<JobId, Long> recent = new LinkedHashMap<>();
 
+	/** Submissions that may have been stored, so that they must not be called refused. */
+	private final Map<JobId, Long> unresolved = new LinkedHashMap<>();
+
 	private final Map<String, Integer> lastPending = new HashMap<>();
 
 	private final LongSupplier storeReachedAt;
@@ -83,25 +86,43 @@
 	public void submit(JobSubmission submission, Consumer<SubmissionLog.Outcome> outcome) {
 		long since = this.loop.now();
 		if (storeAway()) {
-			this.log.note("job-refused", submission.id(), "queue", submission.queue(), "reason", "store is away",
-					"failed-ms-ago", since - this.storeFailedAt);
-			outcome.accept(SubmissionLog.Outcome.REFUSED);
+			withoutStore(submission, outcome);
 			return;
 		}
 		this.submissions.store(submission, (result) -> {
 			this.log.note("job-submitted", submission.id(), "queue", submission.queue(), "outcome", result, "took-ms",
 					this.loop.now() - since);
 			if (result == SubmissionLog.Outcome.STORED) {
-				remember(submission.id());
+				this.unresolved.remove(submission.id());
+				add(this.recent, submission.id());
 				announce(submission);
+				outcome.accept(result);
+				return;
 			}
-			else {
-				this.storeFailedAt = this.loop.now();
+			this.storeFailedAt = this.loop.now();
+			if (result == SubmissionLog.Outcome.UNKNOWN) {
+				add(this.unresolved, submission.id());
 			}
+			outcome.accept(unlessUnresolved(submission.id()));
+		});
+	}
+
+	// An earlier call for the job may have been stored, here or by another process.
+	private void withoutStore(JobSubmission submission, Consumer<SubmissionLog.Outcome> outcome) {
+		this.link.ask(PeerFrame.Kind.ASK_STATE, submission.id().value(), (frame) -> {
+			boolean known = frame.filter((found) -> found.kind() == PeerFrame.Kind.STATE && found.number() >= 0)
+				.isPresent();
+			SubmissionLog.Outcome result = known ? SubmissionLog.Outcome.STORED : unlessUnresolved(submission.id());
+			this.log.note("job-refused", submission.id(), "queue", submission.queue(), "reason", "store is away",
+					"outcome", result, "failed-ms", this.loop.now() - this.storeFailedAt);
 			outcome.accept(result);
 		});
 	}
 
+	private SubmissionLog.Outcome unlessUnresolved(JobId job) {
+		return this.unresolved.containsKey(job) ? SubmissionLog.Outcome.UNKNOWN : SubmissionLog.Outcome.REFUSED;
+	}
+
 	// A submission that cannot be stored is refused at once, until the store answers
 	// again.
 	private boolean storeAway() {
@@ -118,10 +139,10 @@
 				SubmissionCodec.encode(submission)));
 	}
 
-	private void remember(JobId job) {
-		this.recent.put(job, this.loop.now());
-		if (this.recent.size() > REMEMBERED) {
-			this.recent.remove(this.recent.keySet().iterator().next());
+	private void add(Map<JobId, Long> jobs, JobId job) {
+		jobs.put(job, this.loop.now());
+		if (jobs.size() > REMEMBERED) {
+			jobs.remove(jobs.keySet().iterator().next());
 		}
 	}
 
