--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomRule.java
@@ -54,7 +54,8 @@
 		double free = 0;
 		long largest = 0;
 		for (Worker worker : workers) {
-			if (!worker.listing.service().equals(task.job.policy.service())) {
+			if (!worker.opened || worker.unlistedSince >= 0 || worker.silent > 0
+					|| !worker.listing.service().equals(task.job.policy.service())) {
 				continue;
 			}
 			long cores = worker.listing.capacity().milliCores();
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -133,7 +133,8 @@
 
 	private static void collect(StepState step, List<JobProgress.TaskProgress> known) {
 		for (Task task : step.tasks) {
-			if (task.done || !task.failedRuns.isEmpty() || !task.checkpoint.isEmpty()) {
+			boolean started = step.spec.traits().longRunning() && task.lastRun > 0;
+			if (task.done || started || !task.failedRuns.isEmpty() || !task.checkpoint.isEmpty()) {
 				known.add(new JobProgress.TaskProgress(task.name.occurrence(), task.name.step(), task.name.index(),
 						task.done, List.copyOf(task.failedRuns), task.lastRun, task.checkpoint));
 			}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
@@ -39,6 +39,10 @@
 		task.runs.add(run);
 		worker.add(run);
 		worker.ordersSinceAvoided++;
+		if (task.spec().traits().longRunning()) {
+			// A successor has to know which of these tasks have to be back.
+			this.state.changed(task.job);
+		}
 		this.state.log.note("start-ordered", task.name, "worker", worker, "run", number, "waited-ms",
 				now - Math.max(task.job.learntAt, 0), "free-mcores", worker.free().milliCores());
 		long deadline = worker.lease.extend(now, this.state.settings.maxLeaseMillis());
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -4,6 +4,7 @@
 
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
+import io.lentilstream.jobs.StepSpec;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -84,4 +85,27 @@
 		assertThat(this.world.failures).isEqualTo(3);
 	}
 
+	@Test
+	void aLongRunningTaskOnAVmThatLeftMayUseTheHeadroomAfterATakeover() {
+		for (int i = 0; i < 4; i++) {
+			this.world.addWorker("w" + i);
+		}
+		this.world.takeOver();
+		StepSpec.Traits lasting = new StepSpec.Traits(false, false, false, true, false);
+		this.world.submit("job-1", 0, VirtualWorld.withTraits(VirtualWorld.step(12, 2000, 1000), lasting));
+		this.world.clock.runFor(1000);
+		VirtualWorker left = this.world.workers.values()
+			.stream()
+			.filter((worker) -> !worker.running.isEmpty())
+			.findFirst()
+			.orElseThrow();
+		left.crash();
+		this.world.takeOver();
+		this.world.scheduler.unlist(left.listing().id());
+		this.world.clock.runFor(14_000);
+		int running = this.world.workers.values().stream().mapToInt((worker) -> worker.running.size()).sum();
+		assertThat(running).isEqualTo(12);
+		assertThat(this.world.violations).isEmpty();
+	}
+
 }
