Store a VM again that was left out of the register

Change: the register knows just the VMs of the item that it wrote last.

Figures: the new test fails without the change.

--- a/control/src/main/java/io/lentilstream/control/term/WorkerRegister.java
+++ b/control/src/main/java/io/lentilstream/control/term/WorkerRegister.java
@@ -103,16 +103,19 @@
 		Commit commit = new Commit().require(Leadership.LEADER_KEY, this.token)
 			.require(JobKeys.WORKERS, this.revision)
 			.write(JobKeys.WORKERS, encode(all), 0);
-		this.store.commit(commit, (reply) -> stored(added, reply));
+		this.store.commit(commit, (reply) -> stored(all, added, reply));
 	}
 
-	private void stored(List<WorkerListing> added, StoreReply<Long> reply) {
+	private void stored(List<WorkerListing> all, List<WorkerListing> added, StoreReply<Long> reply) {
 		this.inFlight = false;
 		if (this.stopped) {
 			return;
 		}
 		if (reply instanceof StoreReply.Ok<Long> stored) {
 			this.revision = stored.value();
+			// A VM that was left out has to be stored again before it gets orders.
+			this.registered.clear();
+			all.forEach((worker) -> this.registered.add(worker.id()));
 			added.forEach(this::release);
 			this.scheduler.tick();
 			store();
@@ -133,7 +136,6 @@
 	}
 
 	private void release(WorkerListing added) {
-		this.registered.add(added.id());
 		WorkerListing latest = this.waiting.remove(added.id());
 		if (latest != null) {
 			this.scheduler.list(latest);
--- /dev/null
+++ b/control/src/test/java/io/lentilstream/control/term/WorkerRegisterTests.java
@@ -0,0 +1,132 @@
+package io.lentilstream.control.term;
+
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Consumer;
+
+import org.junit.jupiter.api.Test;
+
+import io.lentilstream.control.ManualLoop;
+import io.lentilstream.control.leadership.Leadership;
+import io.lentilstream.control.store.Commit;
+import io.lentilstream.control.store.MemoryStore;
+import io.lentilstream.control.store.StoredItem;
+import io.lentilstream.jobs.OrderAnswer;
+import io.lentilstream.jobs.TaskName;
+import io.lentilstream.jobs.WorkerId;
+import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.WorkerOrders;
+import io.lentilstream.jobs.scheduling.JobScheduler;
+import io.lentilstream.jobs.scheduling.SchedulerSettings;
+import io.lentilstream.model.Resources;
+import io.lentilstream.model.ServiceName;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+class WorkerRegisterTests {
+
+	private final ManualLoop loop = new ManualLoop();
+
+	private final MemoryStore store = new MemoryStore(this.loop);
+
+	private final JobScheduler scheduler = new JobScheduler(new SchedulerSettings(6000, 3, 4000, 4000), new NoOrders(),
+			(decision, subject, inputs) -> {
+			}, this.loop::now, this.loop::timeOfDay, 0);
+
+	private int superseded;
+
+	private final WorkerRegister register = register();
+
+	private WorkerRegister register() {
+		this.store.commit(new Commit().write(Leadership.LEADER_KEY, new byte[1], 0), (reply) -> {
+		});
+		this.loop.runFor(10);
+		WorkerRegister created = new WorkerRegister(this.loop, this.store, this.scheduler, 2, () -> this.superseded++);
+		created.loaded(new StoredItem(JobKeys.WORKERS, null, 0, 0), List.of());
+		return created;
+	}
+
+	@Test
+	void aVmIsListedOnlyAfterItIsStored() {
+		this.register.list(worker("w1"));
+		this.register.store();
+		assertThat(this.scheduler.workers()).isEmpty();
+		this.loop.runFor(20);
+		assertThat(this.scheduler.workers()).hasSize(1);
+		assertThat(stored()).containsExactly("w1");
+	}
+
+	@Test
+	void aVmThatWasLeftOutIsStoredAgainBeforeItIsListed() {
+		this.register.list(worker("w1"));
+		this.register.store();
+		this.loop.runFor(20);
+		this.register.unlist(new WorkerId("w1"));
+		for (int i = 0; i < 200; i++) {
+			this.scheduler.tick();
+			this.loop.runFor(100);
+		}
+		assertThat(this.scheduler.workers()).isEmpty();
+		this.register.list(worker("w2"));
+		this.register.store();
+		this.loop.runFor(20);
+		assertThat(stored()).containsExactly("w2");
+		this.register.list(worker("w1"));
+		assertThat(this.scheduler.workers()).extracting((worker) -> worker.id().value()).containsExactly("w2");
+		this.register.store();
+		this.loop.runFor(20);
+		assertThat(stored()).containsExactlyInAnyOrder("w1", "w2");
+		assertThat(this.scheduler.workers()).hasSize(2);
+	}
+
+	@Test
+	void aLeaderThatWasReplacedIsTold() {
+		this.store.put(Leadership.LEADER_KEY, new byte[2]);
+		this.register.list(worker("w1"));
+		this.register.store();
+		this.loop.runFor(20);
+		assertThat(this.superseded).isEqualTo(1);
+		assertThat(this.scheduler.workers()).isEmpty();
+	}
+
+	private List<String> stored() {
+		return WorkerRegister.decode(this.store.value(JobKeys.WORKERS), (ex) -> {
+			throw new IllegalStateException(ex);
+		}).stream().map((worker) -> worker.id().value()).toList();
+	}
+
+	private static WorkerListing worker(String id) {
+		return new WorkerListing(new WorkerId(id), 5, new ServiceName("press"), new InetSocketAddress("127.0.0.1", 1),
+				"a", false, "r1", new Resources(1000, 1000, 0), Set.of());
+	}
+
+	/**
+	 * Answers no order.
+	 */
+	private final class NoOrders implements WorkerOrders {
+
+		@Override
+		public void start(WorkerListing worker, StartOrder order, Consumer<OrderAnswer> answer) {
+			throw new IllegalStateException("no job was submitted");
+		}
+
+		@Override
+		public void stop(WorkerListing worker, TaskName task, int run, Consumer<OrderAnswer> answer) {
+			throw new IllegalStateException("no job was submitted");
+		}
+
+		@Override
+		public void pace(WorkerListing worker, TaskName task, int run, int percent, Consumer<OrderAnswer> answer) {
+			throw new IllegalStateException("no job was submitted");
+		}
+
+		@Override
+		public void hold(WorkerListing worker, HoldOrder order, Consumer<HoldAnswer> answer) {
+			WorkerRegisterTests.this.loop.after(300,
+					() -> answer.accept(new HoldAnswer.Missing(new OrderAnswer.Unknown())));
+		}
+
+	}
+
+}
