Let a predecessor's time be bounded also when its item is taken away

A leader goes on for its lease of 2 s, its grace and the time of a renewal after its last renewed lease, while the successor counted the grace only; if the leader's item is taken away early, a VM that only the old leader reaches could be held longer than the successor waits. And a task that is refused often could use more run numbers than a term has, so that a successor would use them again.

A term has 10,000 run numbers.

Figures: none; both cases need VMs that one leader reaches and the other does not, or a task refused for seconds.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -77,7 +77,7 @@
 		this.decoder = source.decoder();
 		this.link = new LeaderLink(tools.loop(), group, tools.log(), this::lookAgain);
 		Leadership.Candidate candidate = new Leadership.Candidate(settings.node(), settings.peerAddress(),
-				settings.hesitationMillis(), settings.scheduling().predecessorMillis());
+				settings.hesitationMillis(), settings.graceMillis());
 		this.leadership = new Leadership(tools.loop(), tools.store(), tools.log(), random, candidate,
 				new TermStarter());
 		this.service = new JobService(tools, this.link, () -> Optional.ofNullable(this.term), this::storeReachedAt);
@@ -213,11 +213,13 @@
 	 * @param peerAddress where it takes connections of its peers
 	 * @param hesitationMillis how long it lets stronger processes lead first, in
 	 * milliseconds
+	 * @param graceMillis how long a leader goes on without a renewed lease, in
+	 * milliseconds
 	 * @param keepMillis how long jobs are kept after their end, in milliseconds
 	 * @param scheduling the platform's bounds for orders
 	 */
-	public record NodeSettings(String node, InetSocketAddress peerAddress, long hesitationMillis, long keepMillis,
-			SchedulerSettings scheduling) {
+	public record NodeSettings(String node, InetSocketAddress peerAddress, long hesitationMillis, long graceMillis,
+			long keepMillis, SchedulerSettings scheduling) {
 	}
 
 	/**
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -38,7 +38,7 @@
 public final class Term {
 
 	/** Run numbers that one term may use for a task before they are stored. */
-	private static final int RUNS_PER_TERM = 64;
+	private static final int RUNS_PER_TERM = 10_000;
 
 	private static final long TICK_MILLIS = 25;
 
