Take no new jobs once the leader's lease may have ended

The leader's zone was cut off at 33.5 s; pavlodar-1 took over at 35.9 s. At 39.5 s the cut healed, the old leader's watch delivered the jobs that had come meanwhile, and it started them on VMs of its zone, which the successor had not reached and so not fenced, before the answer to its renewal told it to stop. The successor waits only for jobs that were stored before its takeover.

Change: new jobs wait in a gate while the lease may have ended, and are taken in when it is renewed.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -186,7 +186,7 @@
 			node.link.disconnect();
 			Consumer<String> resign = (reason) -> node.leadership.resign(reason, false);
 			node.term = new Term(node.tools, mandate, node.platform, node.settings.scheduling(),
-					node.settings.keepMillis(), resign);
+					node.settings.keepMillis(), resign, node.leadership::leaseHeld);
 			node.term.policies(node.policies());
 			node.term.start();
 		}
--- a/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
@@ -107,6 +107,14 @@
 		return this.state == State.LEADING;
 	}
 
+	/**
+	 * Tells whether the lease of this leader has certainly not ended by itself.
+	 * @return {@code true} if it was renewed in time
+	 */
+	public boolean leaseHeld() {
+		return leading() && this.loop.now() < this.leaseValidUntil;
+	}
+
 	/**
 	 * Gives the leadership up, for good if the process is about to end.
 	 * @param reason why, for the log
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 
 import io.lentilstream.control.EventLoop;
@@ -82,6 +83,8 @@
 
 	private final Consumer<String> resign;
 
+	private final IntakeGate gate;
+
 	private final long token;
 
 	private final long startedAt;
@@ -104,9 +107,11 @@
 	 * @param settings the platform's bounds
 	 * @param keepMillis how long jobs are kept after their end, in milliseconds
 	 * @param resign gives the leadership up, with the reason
+	 * @param leaseHeld tells whether the lease of the leader has certainly not ended
 	 */
 	public Term(Tools tools, Leadership.Mandate mandate, WorkerPlatform platform, SchedulerSettings settings,
-			long keepMillis, Consumer<String> resign) {
+			long keepMillis, Consumer<String> resign, BooleanSupplier leaseHeld) {
+		this.gate = new IntakeGate(leaseHeld);
 		this.loop = tools.loop();
 		this.store = tools.store();
 		this.log = tools.log();
@@ -161,14 +166,21 @@
 		if (!this.begun || this.stopped) {
 			return;
 		}
-		QueuePolicy policy = this.policies.get(submission.queue());
-		this.scheduler.submit((policy != null) ? withPolicy(submission, policy) : submission);
-		if (this.early.remove(submission.id())) {
-			this.scheduler.cancel(submission.id());
-		}
+		this.gate.offer(submission);
+		takeIn();
 		turnSoon();
 	}
 
+	private void takeIn() {
+		for (JobSubmission submission : this.gate.release()) {
+			QueuePolicy policy = this.policies.get(submission.queue());
+			this.scheduler.submit((policy != null) ? withPolicy(submission, policy) : submission);
+			if (this.early.remove(submission.id())) {
+				this.scheduler.cancel(submission.id());
+			}
+		}
+	}
+
 	/**
 	 * Takes in a cancellation that is stored.
 	 * @param job the job
@@ -317,6 +329,7 @@
 		if (this.stopped || !this.begun) {
 			return;
 		}
+		takeIn();
 		this.scheduler.tick();
 		this.progressLog.commitIfDue();
 		if (this.scheduler.fenced()) {
