Do not let a report rule out a run confirmed in the same millisecond

Cause: answers on different connections overtake each other. A report and a start were sent in one millisecond; the report was made before the start, its answer came after the start's.

Change: a report rules a run out only if it was asked for in a later millisecond than the confirmation of the start, or of the stop.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportRule.java
@@ -141,15 +141,18 @@
 		return run;
 	}
 
+	// Answers on different connections may overtake each other, so a report that was
+	// asked
+	// for in the millisecond of an answer may have been made before it.
 	private void absent(Run run, long sent, long now) {
 		switch (run.phase) {
 			case RUNNING -> {
-				if (sent >= run.phaseSince) {
+				if (sent > run.phaseSince) {
 					this.ends.lost(run, "not in the report", now);
 				}
 			}
 			case UNSURE -> {
-				if (run.stopConfirmedAt >= 0 && sent >= run.stopConfirmedAt) {
+				if (run.stopConfirmedAt >= 0 && sent > run.stopConfirmedAt) {
 					this.ends.lost(run, "never started", now);
 				}
 				else {
