Wait less for lost VMs at a takeover

Cause: the register of VMs kept those that were gone until another VM joined, and a successor waited 11.8 s for each VM that did not answer, as long as for one that a frozen predecessor might still reach. Long-running tasks of VMs lost shortly before were not back in time (LOST).

Change: a VM leaves the register once it has left the list, does not answer and its leases have passed; a VM left out is stored again before it gets orders. For a VM that the list dropped for its silence the wait counts from the begin of the silence, if the store was steady meanwhile (TakeoverRule, WorkerListListener).

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -186,7 +186,8 @@
 			node.link.disconnect();
 			Consumer<String> resign = (reason) -> node.leadership.resign(reason, false);
 			node.term = new Term(node.tools, mandate, node.platform, node.settings.scheduling(),
-					node.settings.keepMillis(), resign, node.leadership::leaseHeld);
+					node.settings.keepMillis(), resign, node.leadership::leaseHeld,
+					node.configurationFollower::steadySince);
 			node.term.policies(node.policies());
 			node.term.start();
 		}
--- a/control/src/main/java/io/lentilstream/control/store/PrefixFollower.java
+++ b/control/src/main/java/io/lentilstream/control/store/PrefixFollower.java
@@ -38,6 +38,8 @@
 
 	private long reachedAt = Long.MIN_VALUE / 2;
 
+	private long steadySince = Long.MAX_VALUE;
+
 	/**
 	 * Creates a follower that has not started.
 	 * @param loop the event loop
@@ -90,6 +92,14 @@
 		return this.reachedAt;
 	}
 
+	/**
+	 * Returns since when the store has answered all calls.
+	 * @return the time in milliseconds; in the future if it does not answer
+	 */
+	public long steadySince() {
+		return this.steadySince;
+	}
+
 	private void loaded(StoreReply<MetadataStore.Page> reply) {
 		if (this.stopped) {
 			return;
@@ -158,6 +168,7 @@
 
 	private void reached() {
 		this.reachedAt = this.loop.now();
+		this.steadySince = Math.min(this.steadySince, this.reachedAt);
 		if (this.lost) {
 			this.lost = false;
 			this.log.note("store-regained", this.prefix, "revision", this.revision);
@@ -165,6 +176,7 @@
 	}
 
 	private void failed(String call, StoreReply<MetadataStore.Page> reply) {
+		this.steadySince = Long.MAX_VALUE;
 		if (!this.lost) {
 			this.lost = true;
 			this.log.note("store-lost", this.prefix, "call", call, "reply", reply);
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 
 import io.lentilstream.control.EventLoop;
 import io.lentilstream.control.leadership.Leadership;
@@ -23,7 +24,6 @@
 import io.lentilstream.jobs.JobSubmission;
 import io.lentilstream.jobs.KnownInterference;
 import io.lentilstream.jobs.QueuePolicy;
-import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
 import io.lentilstream.jobs.codec.DecodeException;
 import io.lentilstream.jobs.codec.InterferenceCodec;
@@ -108,9 +108,11 @@
 	 * @param keepMillis how long jobs are kept after their end, in milliseconds
 	 * @param resign gives the leadership up, with the reason
 	 * @param leaseHeld tells whether the lease of the leader has certainly not ended
+	 * @param storeSteadySince since when the store has answered all calls, in
+	 * milliseconds
 	 */
 	public Term(Tools tools, Leadership.Mandate mandate, WorkerPlatform platform, SchedulerSettings settings,
-			long keepMillis, Consumer<String> resign, BooleanSupplier leaseHeld) {
+			long keepMillis, Consumer<String> resign, BooleanSupplier leaseHeld, LongSupplier storeSteadySince) {
 		this.gate = new IntakeGate(leaseHeld);
 		this.loop = tools.loop();
 		this.store = tools.store();
@@ -129,7 +131,9 @@
 		this.intake = new PrefixFollower(this.loop, this.store, this.log, JobKeys.INTAKE, INTAKE_PACE,
 				new IntakeListener());
 		this.list = new PrefixFollower(this.loop, this.store, this.log, platform.listPrefix(), LIST_PACE,
-				new ListListener());
+				new WorkerListListener(tools, platform, this.register,
+						new WorkerListListener.Steadiness(storeSteadySince, settings.unlistedAfterMillis()),
+						this::turnSoon));
 	}
 
 	/**
@@ -340,6 +344,7 @@
 	private void review() {
 		if (!this.stopped) {
 			this.scheduler.review();
+			this.register.store();
 			this.loop.after(REVIEW_MILLIS, this::review);
 		}
 	}
@@ -462,31 +467,4 @@
 
 	}
 
-	/**
-	 * Takes in the list of VMs.
-	 */
-	private final class ListListener implements PrefixFollower.Listener {
-
-		@Override
-		public void changed(StoredItem item) {
-			Optional<WorkerListing> listing = item.exists() ? Term.this.platform.decode(item) : Optional.empty();
-			if (listing.isPresent()) {
-				Term.this.register.list(listing.get());
-			}
-			else if (!item.exists()) {
-				Term.this.register.unlist(new WorkerId(Term.this.platform.idOf(item.key())));
-			}
-			else {
-				Term.this.log.note("worker-unreadable", item.key(), "revision", item.revision());
-			}
-		}
-
-		@Override
-		public void delivered() {
-			Term.this.register.store();
-			turnSoon();
-		}
-
-	}
-
 }
--- a/control/src/main/java/io/lentilstream/control/term/WorkerRegister.java
+++ b/control/src/main/java/io/lentilstream/control/term/WorkerRegister.java
@@ -53,6 +53,9 @@
 
 	private boolean inFlight;
 
+	/** Whether the stored register names VMs that are gone. */
+	private boolean outdated;
+
 	private boolean stopped;
 
 	WorkerRegister(EventLoop loop, MetadataStore store, JobScheduler scheduler, long token, Runnable superseded) {
@@ -84,21 +87,36 @@
 		this.waiting.put(listing.id(), listing);
 	}
 
-	void unlist(WorkerId id) {
+	void unlist(WorkerId id, boolean silent) {
 		this.waiting.remove(id);
-		this.scheduler.unlist(id);
+		this.scheduler.unlist(id, silent);
+	}
+
+	/**
+	 * Returns the VMs that are stored.
+	 * @return their ids
+	 */
+	Set<WorkerId> registered() {
+		return Set.copyOf(this.registered);
 	}
 
 	/**
-	 * Stores the VMs that wait.
+	 * Stores the VMs that wait, and leaves out those that are gone, for which a successor
+	 * would wait in vain.
 	 */
 	void store() {
-		if (this.stopped || this.inFlight || this.waiting.isEmpty()) {
+		if (this.stopped || this.inFlight) {
+			return;
+		}
+		List<WorkerListing> all = new ArrayList<>(this.scheduler.workers());
+		// From here on, a VM that is left out has to be stored again before it gets
+		// orders.
+		this.outdated |= this.registered.retainAll(all.stream().map(WorkerListing::id).toList());
+		if (this.waiting.isEmpty() && !this.outdated) {
 			return;
 		}
 		this.inFlight = true;
 		List<WorkerListing> added = List.copyOf(this.waiting.values());
-		List<WorkerListing> all = new ArrayList<>(this.scheduler.workers());
 		all.addAll(added);
 		Commit commit = new Commit().require(Leadership.LEADER_KEY, this.token)
 			.require(JobKeys.WORKERS, this.revision)
@@ -113,9 +131,8 @@
 		}
 		if (reply instanceof StoreReply.Ok<Long> stored) {
 			this.revision = stored.value();
-			// A VM that was left out has to be stored again before it gets orders.
-			this.registered.clear();
-			all.forEach((worker) -> this.registered.add(worker.id()));
+			this.outdated = false;
+			added.forEach((worker) -> this.registered.add(worker.id()));
 			added.forEach(this::release);
 			this.scheduler.tick();
 			store();
--- a/control/src/test/java/io/lentilstream/control/store/PrefixFollowerTests.java
+++ b/control/src/test/java/io/lentilstream/control/store/PrefixFollowerTests.java
@@ -59,4 +59,19 @@
 		assertThat(this.loop.now() - this.follower.reachedAt()).isLessThan(300);
 	}
 
+	@Test
+	void theStoreIsSteadyOnlySinceItsLastFailure() {
+		this.follower.start();
+		this.loop.runFor(100);
+		long first = this.follower.steadySince();
+		this.loop.runFor(3000);
+		assertThat(this.follower.steadySince()).isEqualTo(first);
+		this.store.mode = MemoryStore.Mode.REFUSES;
+		this.loop.runFor(2000);
+		assertThat(this.follower.steadySince()).isGreaterThan(this.loop.now());
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(300);
+		assertThat(this.follower.steadySince()).isBetween(first + 5000, this.loop.now());
+	}
+
 }
--- a/control/src/test/java/io/lentilstream/control/term/WorkerRegisterTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/WorkerRegisterTests.java
@@ -30,8 +30,8 @@
 
 	private final MemoryStore store = new MemoryStore(this.loop);
 
-	private final JobScheduler scheduler = new JobScheduler(new SchedulerSettings(6000, 3, 4000, 4000), new NoOrders(),
-			(decision, subject, inputs) -> {
+	private final JobScheduler scheduler = new JobScheduler(new SchedulerSettings(6000, 3, 4000, 4000, 3000),
+			new NoOrders(), (decision, subject, inputs) -> {
 			}, this.loop::now, this.loop::timeOfDay, 0);
 
 	private int superseded;
@@ -62,7 +62,7 @@
 		this.register.list(worker("w1"));
 		this.register.store();
 		this.loop.runFor(20);
-		this.register.unlist(new WorkerId("w1"));
+		this.register.unlist(new WorkerId("w1"), true);
 		for (int i = 0; i < 200; i++) {
 			this.scheduler.tick();
 			this.loop.runFor(100);
@@ -80,6 +80,40 @@
 		assertThat(this.scheduler.workers()).hasSize(2);
 	}
 
+	@Test
+	void aVmThatIsGoneIsLeftOut() {
+		this.register.list(worker("w1"));
+		this.register.list(worker("w2"));
+		this.register.store();
+		this.loop.runFor(20);
+		this.register.unlist(new WorkerId("w1"), true);
+		for (int i = 0; i < 10; i++) {
+			this.scheduler.tick();
+			this.loop.runFor(100);
+		}
+		this.register.store();
+		this.loop.runFor(20);
+		assertThat(stored()).containsExactly("w2");
+	}
+
+	@Test
+	void aVmThatComesBackWhileItIsLeftOutIsStoredAgainFirst() {
+		this.register.list(worker("w1"));
+		this.register.store();
+		this.loop.runFor(20);
+		this.register.unlist(new WorkerId("w1"), true);
+		for (int i = 0; i < 10; i++) {
+			this.scheduler.tick();
+			this.loop.runFor(100);
+		}
+		this.register.store();
+		this.register.list(worker("w1"));
+		assertThat(this.scheduler.workers()).isEmpty();
+		this.loop.runFor(20);
+		assertThat(stored()).containsExactly("w1");
+		assertThat(this.scheduler.workers()).hasSize(1);
+	}
+
 	@Test
 	void aLeaderThatWasReplacedIsTold() {
 		this.store.put(Leadership.LEADER_KEY, new byte[2]);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -46,8 +45,7 @@
 
 	private final InterferenceModel interference = new InterferenceModel();
 
-	/** VMs that may run tasks of the predecessor, and until when in milliseconds. */
-	private final Map<WorkerId, Long> unsettled = new HashMap<>();
+	private final TakeoverRule takeover;
 
 	/**
 	 * Creates a scheduler without jobs and VMs.
@@ -62,6 +60,7 @@
 	public JobScheduler(SchedulerSettings settings, WorkerOrders orders, DecisionLog log, LongSupplier clock,
 			LongSupplier timeOfDay, int runFloor) {
 		this.state = new SchedulerState(settings, orders, log, clock, runFloor);
+		this.takeover = new TakeoverRule(this.state);
 		this.stops = new StopRule(this.state);
 		this.opening = new JobOpeningRule(this.state, this.stops, timeOfDay);
 		TrustRule trust = new TrustRule(this.state);
@@ -154,10 +153,8 @@
 	 */
 	public void begin(Collection<WorkerListing> predecessorWorkers) {
 		long now = this.state.now();
-		SchedulerSettings settings = this.state.settings;
-		long settledBy = now + settings.predecessorMillis() + settings.maxLeaseMillis() * 21 / 20;
+		this.takeover.begin(predecessorWorkers, now);
 		for (WorkerListing listing : predecessorWorkers) {
-			this.unsettled.put(listing.id(), settledBy);
 			if (!this.state.workers.containsKey(listing.id())) {
 				Worker worker = new Worker(listing, now);
 				worker.unlistedSince = now;
@@ -231,9 +228,13 @@
 	/**
 	 * Notes that a VM is not in the list any more.
 	 * @param id the id
+	 * @param silent whether it certainly was silent before, as it is if the store was up
 	 */
-	public void unlist(WorkerId id) {
+	public void unlist(WorkerId id, boolean silent) {
 		Worker worker = this.state.workers.get(id);
+		if (silent) {
+			this.takeover.droppedForSilence(id, this.state.now());
+		}
 		if (worker != null && worker.unlistedSince < 0) {
 			worker.unlistedSince = this.state.now();
 			this.state.log.note("worker-unlisted", id, "runs", worker.runs.size());
@@ -294,14 +295,7 @@
 	}
 
 	private void settle(long now) {
-		if (this.unsettled.isEmpty()) {
-			return;
-		}
-		this.unsettled.entrySet().removeIf((entry) -> {
-			Worker worker = this.state.workers.get(entry.getKey());
-			return worker == null || worker.opened || now > entry.getValue();
-		});
-		if (this.unsettled.isEmpty()) {
+		if (this.takeover.completes(now)) {
 			this.state.log.note("takeover-settled", "scheduler", "workers", this.state.workers.size());
 			this.state.jobs.values().forEach((job) -> settled(job));
 		}
@@ -318,9 +312,10 @@
 		}
 	}
 
+	// A VM that this scheduler never reached got no starts from it.
 	private boolean gone(Worker worker, long now) {
 		return worker.unlistedSince >= 0 && worker.runs.isEmpty() && worker.silent > 0
-				&& now - Math.max(worker.answeredAt, worker.unlistedSince) > 2 * this.state.settings.maxLeaseMillis();
+				&& !this.takeover.waitsFor(worker.id()) && (!worker.lease.known() || worker.lease.certainlyPassed(now));
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
@@ -8,6 +8,9 @@
  * @param harmMillis how long a serving task may be over its target, in milliseconds
  * @param predecessorMillis how long a predecessor may go on extending leases after a
  * takeover, in milliseconds
+ * @param unlistedAfterMillis silence after which a VM is dropped from the list, in
+ * milliseconds
  */
-public record SchedulerSettings(long maxLeaseMillis, double remoteFactor, long harmMillis, long predecessorMillis) {
+public record SchedulerSettings(long maxLeaseMillis, double remoteFactor, long harmMillis, long predecessorMillis,
+		long unlistedAfterMillis) {
 }
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -101,11 +101,48 @@
 			.orElseThrow();
 		left.crash();
 		this.world.takeOver();
-		this.world.scheduler.unlist(left.listing().id());
+		this.world.scheduler.unlist(left.listing().id(), true);
 		this.world.clock.runFor(14_000);
 		int running = this.world.workers.values().stream().mapToInt((worker) -> worker.running.size()).sum();
 		assertThat(running).isEqualTo(12);
 		assertThat(this.world.violations).isEmpty();
 	}
 
+	@Test
+	void aVMThatTheListDroppedForItsSilenceIsWaitedForLess() {
+		this.world.addWorker("w1");
+		this.world.addWorker("w2");
+		this.world.takeOver();
+		StepSpec.Traits lasting = new StepSpec.Traits(false, false, false, true, false);
+		this.world.submit("job-1", 0, VirtualWorld.withTraits(VirtualWorld.step(2, 2000, 1000), lasting));
+		this.world.clock.runFor(1000);
+		VirtualWorker left = this.world.workers.values()
+			.stream()
+			.filter((worker) -> !worker.running.isEmpty())
+			.findFirst()
+			.orElseThrow();
+		left.crash();
+		this.world.takeOver();
+		this.world.scheduler.unlist(left.listing().id(), true);
+		this.world.clock.runFor(4000 + 6300 - 3000 + 300);
+		int running = this.world.workers.values().stream().mapToInt((worker) -> worker.running.size()).sum();
+		assertThat(running).isEqualTo(2);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void aVMThatMayHaveLeftTheListForAnotherReasonIsWaitedForInFull() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 30_000));
+		this.world.clock.runFor(1000);
+		VirtualWorker cutOff = this.world.workers.get("w1");
+		cutOff.cut = true;
+		this.world.addWorker("w2");
+		this.world.takeOver();
+		this.world.scheduler.unlist(cutOff.listing().id(), false);
+		this.world.clock.runFor(4000 + 6300 - 100);
+		assertThat(this.world.workers.get("w2").running).isEmpty();
+	}
+
 }
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -34,7 +34,7 @@
  */
 final class VirtualWorld {
 
-	static final SchedulerSettings SETTINGS = new SchedulerSettings(6000, 3, 4000, 4000);
+	static final SchedulerSettings SETTINGS = new SchedulerSettings(6000, 3, 4000, 4000, 3000);
 
 	final VirtualClock clock = new VirtualClock();
 
