Bound the leases of VMs by the leader's own lease

Cause: a leader without the store goes on for 2 s after its lease, and extended leases of VMs to their longest until the end.

Change: no lease of a VM outlasts the leader's own by more than the longest lease (OrderMandate, LeaseBound).

--- a/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
 import io.lentilstream.control.EventLoop;
@@ -27,6 +28,13 @@
 	/** How long the lease lasts without renewal, in milliseconds. */
 	private static final long TTL_MILLIS = 2000;
 
+	/**
+	 * How long a leader may believe in its lease after its successor was elected, in
+	 * milliseconds, because its item was taken away right after a renewal; with a margin
+	 * for orders on their way.
+	 */
+	public static final long OVERLAP_MILLIS = TTL_MILLIS + 500;
+
 	/** Time between renewals, in milliseconds. */
 	private static final long RENEW_MILLIS = 500;
 
@@ -234,7 +242,7 @@
 		this.leader = this.claim;
 		this.vacantSince = -1;
 		this.log.note("leadership-won", this.candidate.node(), "term", this.claim.term(), "token", token);
-		this.listener.won(new Mandate(this.claim.term(), token));
+		this.listener.won(new Mandate(this.claim.term(), token, () -> this.leaseValidUntil));
 		renewLater();
 	}
 
@@ -298,8 +306,10 @@
 	 *
 	 * @param term the number of the term, from 0
 	 * @param token the fencing token, higher than those of all earlier terms
+	 * @param leaseValidUntil until when the lease was renewed, on the steady clock in
+	 * milliseconds
 	 */
-	public record Mandate(int term, long token) {
+	public record Mandate(int term, long token, LongSupplier leaseValidUntil) {
 	}
 
 	/**
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -30,6 +30,7 @@
 import io.lentilstream.jobs.codec.ProgressCodec;
 import io.lentilstream.jobs.codec.SubmissionCodec;
 import io.lentilstream.jobs.scheduling.JobScheduler;
+import io.lentilstream.jobs.scheduling.OrderMandate;
 import io.lentilstream.jobs.scheduling.SchedulerSettings;
 import io.lentilstream.model.JobId;
 
@@ -124,7 +125,8 @@
 		this.startedAt = this.loop.now();
 		this.orders = platform.orders(mandate.token());
 		this.scheduler = new JobScheduler(settings, new PromptOrders(this.orders, this::turnSoon), this.log,
-				this.loop::now, this.loop::timeOfDay, mandate.term() * RUNS_PER_TERM);
+				this.loop::now, this.loop::timeOfDay,
+				new OrderMandate(mandate.term() * RUNS_PER_TERM, mandate.leaseValidUntil()));
 		Runnable superseded = () -> resign.accept("superseded in the store");
 		this.progressLog = new ProgressLog(this.loop, this.store, this.scheduler, this.token, superseded);
 		this.register = new WorkerRegister(this.loop, this.store, this.scheduler, this.token, superseded);
--- a/control/src/test/java/io/lentilstream/control/term/WorkerRegisterTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/WorkerRegisterTests.java
@@ -18,6 +18,7 @@
 import io.lentilstream.jobs.WorkerListing;
 import io.lentilstream.jobs.WorkerOrders;
 import io.lentilstream.jobs.scheduling.JobScheduler;
+import io.lentilstream.jobs.scheduling.OrderMandate;
 import io.lentilstream.jobs.scheduling.SchedulerSettings;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.ServiceName;
@@ -32,7 +33,7 @@
 
 	private final JobScheduler scheduler = new JobScheduler(new SchedulerSettings(6000, 3, 4000, 4000, 3000),
 			new NoOrders(), (decision, subject, inputs) -> {
-			}, this.loop::now, this.loop::timeOfDay, 0);
+			}, this.loop::now, this.loop::timeOfDay, OrderMandate.unlimited(0));
 
 	private int superseded;
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/HoldRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/HoldRule.java
@@ -50,7 +50,7 @@
 		boolean wait = worker.opened && worker.unstored.isEmpty() && worker.silent == 0;
 		long waitMillis = worker.runs.isEmpty() ? IDLE_WAIT_MILLIS : WAIT_MILLIS;
 		boolean extend = worker.lease.known() && now - worker.answeredAt < EXTEND_SILENT_MILLIS;
-		long deadline = extend ? worker.lease.extend(now, this.state.settings.maxLeaseMillis()) : 0;
+		long deadline = extend ? this.state.extendLease(worker, now) : 0;
 		worker.holdInFlight = true;
 		Worker.Incarnation incarnation = worker.incarnation;
 		WorkerOrders.HoldOrder order = new WorkerOrders.HoldOrder(deadline, worker.acknowledged, wait ? waitMillis : 0);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -54,12 +54,11 @@
 	 * @param log takes a line for each decision
 	 * @param clock the steady clock, in milliseconds
 	 * @param timeOfDay the time of day, in milliseconds since 1970
-	 * @param runFloor run numbers will be above this one; must be above those of all
-	 * predecessors
+	 * @param mandate the right to give orders
 	 */
 	public JobScheduler(SchedulerSettings settings, WorkerOrders orders, DecisionLog log, LongSupplier clock,
-			LongSupplier timeOfDay, int runFloor) {
-		this.state = new SchedulerState(settings, orders, log, clock, runFloor);
+			LongSupplier timeOfDay, OrderMandate mandate) {
+		this.state = new SchedulerState(settings, orders, log, clock, mandate);
 		this.takeover = new TakeoverRule(this.state);
 		this.stops = new StopRule(this.state);
 		this.opening = new JobOpeningRule(this.state, this.stops, timeOfDay);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/LeaseBound.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/LeaseBound.java
@@ -38,10 +38,14 @@
 	 * order with it is about to be sent.
 	 * @param now the current time in milliseconds
 	 * @param leaseMillis the longest lease in milliseconds
+	 * @param latestEnd when leases have to end at the latest, in milliseconds
 	 * @return the deadline on the VM's clock
 	 */
-	long extend(long now, long leaseMillis) {
-		long deadline = this.clockAtReceipt + (now - this.sentAt) + leaseMillis;
+	long extend(long now, long leaseMillis, long latestEnd) {
+		// The VM shortens what is too long, but it does not know the latest end.
+		long longest = this.clockAtReceipt + (now - this.sentAt) + leaseMillis;
+		long latest = this.clockAtReceipt + (latestEnd - this.receivedAt);
+		long deadline = Math.min(longest, latest);
 		this.latestDeadline = Math.max(this.latestDeadline, deadline);
 		return deadline;
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -26,8 +26,7 @@
 	/** Steady clock of this process, in milliseconds. */
 	final LongSupplier clock;
 
-	/** Run numbers of this scheduler are above this one. */
-	final int runFloor;
+	final OrderMandate mandate;
 
 	final Map<JobId, Job> jobs = new LinkedHashMap<>();
 
@@ -46,18 +45,24 @@
 	/** Whether a VM has taken orders from a newer scheduler. */
 	boolean fenced;
 
-	SchedulerState(SchedulerSettings settings, WorkerOrders orders, DecisionLog log, LongSupplier clock, int runFloor) {
+	SchedulerState(SchedulerSettings settings, WorkerOrders orders, DecisionLog log, LongSupplier clock,
+			OrderMandate mandate) {
 		this.settings = settings;
 		this.orders = orders;
 		this.log = log;
 		this.clock = clock;
-		this.runFloor = runFloor;
+		this.mandate = mandate;
 	}
 
 	long now() {
 		return this.clock.getAsLong();
 	}
 
+	long extendLease(Worker worker, long now) {
+		long longest = this.settings.maxLeaseMillis();
+		return worker.lease.extend(now, longest, this.mandate.certainUntil().getAsLong() + longest);
+	}
+
 	Task find(TaskName name) {
 		Job job = this.jobs.get(name.job());
 		return (job != null) ? job.find(name.occurrence(), name.step(), name.index()) : null;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StartRule.java
@@ -29,7 +29,7 @@
 	}
 
 	int nextRun(Task task) {
-		return Math.max(task.lastRun, this.state.runFloor) + 1;
+		return Math.max(task.lastRun, this.state.mandate.runFloor()) + 1;
 	}
 
 	void start(Task task, Worker worker, int number, long now) {
@@ -46,7 +46,7 @@
 		this.state.log.note("start-ordered", task.name, "worker", worker, "run", number, "waited-ms",
 				now - Math.max(task.job.learntAt, 0), "free-mcores", worker.free().milliCores(), "image",
 				task.spec().image(), "mcores", task.spec().size().milliCores());
-		long deadline = worker.lease.extend(now, this.state.settings.maxLeaseMillis());
+		long deadline = this.state.extendLease(worker, now);
 		WorkerOrders.StartOrder order = new WorkerOrders.StartOrder(task.name, number, task.job.submission.payload(),
 				task.checkpoint, deadline);
 		this.state.orders.start(worker.listing, order, (answer) -> answered(run, answer));
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/OvertakenReportTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/OvertakenReportTests.java
@@ -36,7 +36,7 @@
 
 	private final JobScheduler scheduler = new JobScheduler(VirtualWorld.SETTINGS, this.orders,
 			(decision, subject, inputs) -> {
-			}, () -> this.now, () -> this.now, 0);
+			}, () -> this.now, () -> this.now, OrderMandate.unlimited(0));
 
 	@Test
 	void aReportOfTheMillisecondInWhichAStartWasConfirmedDoesNotRuleTheRunOut() {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -101,7 +101,7 @@
 		int mine = this.term;
 		long token = mine + 1L;
 		JobScheduler next = new JobScheduler(SETTINGS, new Orders(mine, token), this::note, this.clock::now,
-				this.clock::now, mine * 64);
+				this.clock::now, OrderMandate.unlimited(mine * 64));
 		this.scheduler = next;
 		for (JobSubmission submission : this.submissions.values()) {
 			next.load(submission, stored(submission.id()));
