Move runs away from VMs that drain

Cause: runs on a VM that drains were left there until it was gone. A long-running task was missed until the VM was silent and its leases had passed, more than 7 s later.

Change: long-running and checkpointing runs on a draining VM are stopped, eight a review at most, if another VM has room (EvacuationRule).

--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/EvacuationRule.java
@@ -0,0 +1,62 @@
+package io.lentilstream.jobs.scheduling;
+
+import java.util.List;
+
+import io.lentilstream.jobs.StepSpec;
+
+/**
+ * Moves runs away from VMs that drain, if they lose nothing by it and find room
+ * elsewhere. Load pattern: VMs that are replaced one after another under long-running
+ * tasks, which would be missed for seconds after the VM has left.
+ */
+final class EvacuationRule {
+
+	/** Runs that are moved at a review, which bounds how many are away at once. */
+	private static final int MOST_AT_ONCE = 8;
+
+	private final SchedulerState state;
+
+	private final StopRule stops;
+
+	private final PlacementRule placement;
+
+	EvacuationRule(SchedulerState state, StopRule stops, PlacementRule placement) {
+		this.state = state;
+		this.stops = stops;
+		this.placement = placement;
+	}
+
+	/**
+	 * Stops runs on draining VMs. Is to be called a few times a second.
+	 * @param now the current time in milliseconds
+	 */
+	void review(long now) {
+		int moved = 0;
+		for (Worker worker : this.state.workers.values()) {
+			if (!worker.listing.draining() || worker.silent > 0) {
+				continue;
+			}
+			for (Run run : List.copyOf(worker.runs.values())) {
+				if (moved < MOST_AT_ONCE && movable(run) && hasRoomElsewhere(run.task, now)) {
+					this.stops.want(run, "VM drains", now);
+					moved++;
+				}
+			}
+		}
+	}
+
+	private static boolean movable(Run run) {
+		StepSpec.Traits traits = run.task.spec().traits();
+		return run.phase == Run.Phase.RUNNING && !run.stopWanted && !traits.gang()
+				&& (traits.longRunning() || traits.checkpointing());
+	}
+
+	private boolean hasRoomElsewhere(Task task, long now) {
+		boolean before = task.restarts;
+		task.restarts = true;
+		Worker place = this.placement.choose(task, this.state.workers.values(), "", now);
+		task.restarts = before;
+		return place != null;
+	}
+
+}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -39,6 +39,8 @@
 
 	private final StragglerRule stragglers;
 
+	private final EvacuationRule evacuation;
+
 	private final PlacementPass pass;
 
 	private final HeadroomRule headroom;
@@ -71,6 +73,7 @@
 		this.reports = new ReportRule(this.state, starts, this.ends, this.stops, new PacingRule(this.state, forecast));
 		this.holds = new HoldRule(this.state, this.reports, this.ends);
 		this.stragglers = new StragglerRule(this.state, this.stops, starts, trust, placement);
+		this.evacuation = new EvacuationRule(this.state, this.stops, placement);
 		this.pass = new PlacementPass(this.state, placement, starts);
 	}
 
@@ -288,6 +291,7 @@
 		}
 		this.headroom.review();
 		this.pass.reorder(now);
+		this.evacuation.review(now);
 		for (Worker worker : this.state.workers.values()) {
 			this.stragglers.review(worker, now);
 		}
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/LoadPatternTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/LoadPatternTests.java
@@ -107,6 +107,44 @@
 		assertThat(running(job)).isEqualTo(1);
 	}
 
+	@Test
+	void longRunningTasksLeaveAVmThatDrainsBeforeItIsGone() {
+		JobSubmission job = lastingJobOnOneOfTwo();
+		drain(busy());
+		this.world.clock.runFor(1500);
+		assertThat(running(job)).isEqualTo(3);
+		assertThat(busy().draining).isFalse();
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void longRunningTasksStayOnAVmThatDrainsWhileThereIsNoOtherRoom() {
+		JobSubmission job = lastingJobOnOneOfTwo();
+		this.world.workers.values().forEach(this::drain);
+		this.world.clock.runFor(1500);
+		assertThat(running(job)).isEqualTo(3);
+		assertThat(this.world.log).noneMatch((line) -> line.contains("stop-ordered"));
+	}
+
+	private JobSubmission lastingJobOnOneOfTwo() {
+		this.world.addWorker("w0");
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("lasting", 0, lasting("a", 3, 2000, 0));
+		this.world.clock.runFor(1000);
+		assertThat(running(job)).isEqualTo(3);
+		return job;
+	}
+
+	private VirtualWorker busy() {
+		return this.world.workers.values().stream().filter((worker) -> !worker.running.isEmpty()).findFirst().get();
+	}
+
+	private void drain(VirtualWorker worker) {
+		worker.draining = true;
+		this.world.scheduler.list(worker.listing());
+	}
+
 	@Test
 	void workThatCanStillBeOnTimeComesBeforeWorkThatIsLate() {
 		this.world.addWorker("w0");
@@ -147,11 +185,7 @@
 		this.world.takeOver();
 		JobSubmission job = this.world.submit("lasting", 0, lasting("a", 1, 2000, 0));
 		this.world.clock.runFor(500);
-		VirtualWorker worker = this.world.workers.values()
-			.stream()
-			.filter((w) -> !w.running.isEmpty())
-			.findFirst()
-			.get();
+		VirtualWorker worker = busy();
 		worker.crash();
 		worker.restart();
 		this.world.scheduler.list(worker.listing());
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -40,6 +40,9 @@
 	/** Whether orders and answers are lost. */
 	boolean cut;
 
+	/** Whether the VM has said that it will leave. */
+	boolean draining;
+
 	/** Whether all tasks fail. */
 	boolean failing;
 
@@ -70,7 +73,7 @@
 
 	WorkerListing listing() {
 		return new WorkerListing(new WorkerId(this.id), this.born, SERVICE, new InetSocketAddress("127.0.0.1", 1), "a",
-				false, "r1-1", new Resources(8000, 16_000, 0), Set.of("k", "r1-1"));
+				this.draining, "r1-1", new Resources(8000, 16_000, 0), Set.of("k", "r1-1"));
 	}
 
 	long clockMillis() {
