Log once a second how the VMs are used and what waits

A slow job could not be told from a full system by the logs. The line names capacity, reservations, filling and paced work, and what waits.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -41,6 +41,8 @@
 
 	private final EvacuationRule evacuation;
 
+	private final LoadSummary load;
+
 	private final PlacementPass pass;
 
 	private final HeadroomRule headroom;
@@ -74,6 +76,7 @@
 		this.holds = new HoldRule(this.state, this.reports, this.ends);
 		this.stragglers = new StragglerRule(this.state, this.stops, starts, trust, placement);
 		this.evacuation = new EvacuationRule(this.state, this.stops, placement);
+		this.load = new LoadSummary(this.state);
 		this.pass = new PlacementPass(this.state, placement, starts);
 	}
 
@@ -292,6 +295,7 @@
 		this.headroom.review();
 		this.pass.reorder(now);
 		this.evacuation.review(now);
+		this.load.logIfDue(now);
 		for (Worker worker : this.state.workers.values()) {
 			this.stragglers.review(worker, now);
 		}
