Leave filling tasks alone that are known to be harmless

A serving task near or over its target by its own load kept all filling tasks away from its VM for 1.5 s, and paused those there, whether they disturbed it or not.

Change: a filling task whose image is known to lengthen the tail by less than 0.3 a whole VM counts as harmless to the serving image: it may join, is not paced for it, and speeds up. After 2.5 s over a target all pause, since the estimate may be wrong. The time of a missed target is kept for each serving run instead of each VM.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/DisturbanceForecast.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/DisturbanceForecast.java
@@ -8,6 +8,12 @@
 
 	private static final double FULL_PACE = 100;
 
+	/**
+	 * Growth of the logarithm of a tail, if such tasks filled the whole VM, below which
+	 * they count as harmless.
+	 */
+	private static final double HARMLESS = 0.3;
+
 	private final InterferenceModel model;
 
 	DisturbanceForecast(InterferenceModel model) {
@@ -38,6 +44,17 @@
 		return this.model.sensitivity(serving.task.spec().image(), filling.spec().image());
 	}
 
+	/**
+	 * Tells whether filling tasks may be left alone although a serving task misses its
+	 * target, since the task misses it without them too.
+	 * @param serving the run of the serving task
+	 * @param filling a filling task
+	 * @return {@code true} if they are known not to disturb it
+	 */
+	boolean harmless(Run serving, Task filling) {
+		return sensitivity(serving, filling) < HARMLESS;
+	}
+
 	static double ratio(Run serving) {
 		return serving.figure / serving.task.spec().targetMillis();
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
@@ -21,9 +21,15 @@
 	/** Part of its target that a serving task is meant to stay under. */
 	private static final double GOAL = 0.8;
 
-	/** Time over its target after which all filling tasks pause, in milliseconds. */
+	/** Time over its target after which disturbing tasks pause, in milliseconds. */
 	private static final long PAUSE_MILLIS = 900;
 
+	/**
+	 * Time over its target after which those that seem harmless pause too, in
+	 * milliseconds.
+	 */
+	private static final long PAUSE_ALL_MILLIS = 2500;
+
 	private static final int FULL_PACE = 100;
 
 	/** Smallest change of pace that is worth an order. */
@@ -63,12 +69,14 @@
 		learn(serving, filling);
 		double pressure = serving.stream().mapToDouble(DisturbanceForecast::ratio).max().orElse(0);
 		worker.pressedSince = (pressure < 1) ? -1 : (worker.pressedSince < 0) ? now : worker.pressedSince;
-		if (pressure >= 1) {
-			worker.pressedAt = now;
-		}
-		if (worker.pressedSince >= 0 && now - worker.pressedSince >= PAUSE_MILLIS) {
+		serving.stream().filter((run) -> DisturbanceForecast.ratio(run) >= 1).forEach((run) -> run.pressedAt = now);
+		long pressed = (worker.pressedSince >= 0) ? now - worker.pressedSince : 0;
+		if (pressed >= PAUSE_ALL_MILLIS) {
 			filling.forEach((run) -> order(run, 0));
 		}
+		else if (pressed >= PAUSE_MILLIS) {
+			filling.stream().filter((run) -> disturbsAny(run, serving)).forEach((run) -> order(run, 0));
+		}
 		else if (pressure >= DISTURBED) {
 			serving.stream()
 				.filter((run) -> DisturbanceForecast.ratio(run) >= DISTURBED)
@@ -94,7 +102,8 @@
 
 	private void relieve(Run serving, List<Run> filling) {
 		double excess = this.forecast.expected(serving) - Math.log(GOAL);
-		List<Run> worst = new ArrayList<>(filling);
+		List<Run> worst = new ArrayList<>(
+				filling.stream().filter((run) -> !this.forecast.harmless(serving, run.task)).toList());
 		worst.sort(Comparator.comparingDouble((Run run) -> -effect(serving, run)));
 		for (Run run : worst) {
 			if (excess <= 0) {
@@ -107,6 +116,12 @@
 		}
 	}
 
+	private boolean disturbsAny(Run filling, List<Run> serving) {
+		return serving.stream()
+			.anyMatch(
+					(run) -> DisturbanceForecast.ratio(run) >= DISTURBED && !this.forecast.harmless(run, filling.task));
+	}
+
 	private double effect(Run serving, Run filling) {
 		double share = DisturbanceForecast.share(filling.task, filling.worker) * filling.pace / FULL_PACE;
 		return this.forecast.sensitivity(serving, filling.task) * share;
@@ -116,9 +131,12 @@
 		double share = DisturbanceForecast.share(filling.task, filling.worker);
 		double most = SPEED_UP;
 		for (Run run : serving) {
+			if (this.forecast.harmless(run, filling.task)) {
+				continue;
+			}
 			double room = Math.log(GOAL) - this.forecast.expected(run);
 			double perPercent = this.forecast.sensitivity(run, filling.task) * share / FULL_PACE;
-			most = Math.min(most, (perPercent > 0) ? room / perPercent : (room > 0) ? SPEED_UP : 0);
+			most = Math.min(most, room / perPercent);
 		}
 		int pace = (int) Math.min(FULL_PACE, filling.pace + Math.max(0, most));
 		if (pace - filling.pace >= LEAST_CHANGE || pace == FULL_PACE) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -95,13 +95,16 @@
 		if (worker.serving == 0) {
 			return true;
 		}
-		return now - worker.pressedAt > PRESSED_MILLIS && tailsStayLow(task, worker);
+		return tailsStayLow(task, worker, now);
 	}
 
-	private boolean tailsStayLow(Task filling, Worker worker) {
+	private boolean tailsStayLow(Task filling, Worker worker, long now) {
 		double share = DisturbanceForecast.share(filling, worker);
 		for (Run run : worker.runs.values()) {
-			if (run.task.spec().serves()) {
+			if (run.task.spec().serves() && !this.forecast.harmless(run, filling)) {
+				if (now - run.pressedAt <= PRESSED_MILLIS) {
+					return false;
+				}
 				double growth = share * this.forecast.sensitivity(run, filling);
 				double goal = (growth > DISTURBING) ? DISTURBED_TAIL_GOAL : TAIL_GOAL;
 				if (this.forecast.expected(run) + growth > Math.log(goal)) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -39,6 +39,9 @@
 
 	double figure;
 
+	/** When a serving run was last over its target, in milliseconds. */
+	long pressedAt = Long.MIN_VALUE / 2;
+
 	/** The share of its speed at which the run may work. */
 	int pace = 100;
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -74,9 +74,6 @@
 	 */
 	long pressedSince = -1;
 
-	/** When a serving task was last over its target, in milliseconds. */
-	long pressedAt = Long.MIN_VALUE / 2;
-
 	Worker(WorkerListing listing, long now) {
 		this.listing = listing;
 		this.bornMillis = listing.bornMillis();
