End the own lease that is found after an outage

Cause: the store pauses leases in some outages.

Change: a process that finds the item of a term it has given up ends its lease and looks again.

LeadershipTests fails without the change.

--- a/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
@@ -53,6 +53,9 @@
 
 	private final Listener listener;
 
+	/** Time until the next look after the own lease was ended, in milliseconds. */
+	private static final long LOOK_OWN_MILLIS = 20;
+
 	private State state = State.FOLLOWING;
 
 	private LeaderRecord leader;
@@ -168,6 +171,10 @@
 	private void follow(StoredItem item) {
 		try {
 			LeaderRecord record = LeaderRecord.decode(item.value());
+			if (record.equals(this.claim)) {
+				endOwn();
+				return;
+			}
 			if (!record.equals(this.leader)) {
 				this.log.note("leader-found", record.node(), "term", record.term(), "revision", item.revision());
 			}
@@ -180,6 +187,13 @@
 		}
 	}
 
+	// The item of a term that this process gave up while the store was away. Others would
+	// wait for the end of its lease.
+	private void endOwn() {
+		this.log.note("own-lease-found", this.candidate.node(), "term", this.claim.term());
+		this.store.endLease(this.lease, (reply) -> this.loop.after(LOOK_OWN_MILLIS, this::look));
+	}
+
 	private void granted(StoreReply<Long> reply, long sent) {
 		if (!(reply instanceof StoreReply.Ok<Long> granted)) {
 			again();
--- a/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
+++ b/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
@@ -70,6 +70,21 @@
 		assertThat(this.first.lost).isEqualTo(1);
 	}
 
+	@Test
+	void aLeaderThatGaveUpInAnOutageInWhichLeasesPausedDoesNotWaitForItsOwnLease() {
+		this.first.leadership.look();
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.SILENT;
+		long outage = 2000 + GRACE_MILLIS + 1500;
+		this.loop.runFor(outage);
+		assertThat(this.first.leadership.leading()).isFalse();
+		this.store.extendLeases(outage);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(1200);
+		assertThat(this.first.leadership.leading()).isTrue();
+		assertThat(this.first.terms).containsExactly(0, 1);
+	}
+
 	@Test
 	void aWeakProcessLetsOthersGoFirst() {
 		Process weak = new Process("w", 800);
--- a/control/src/test/java/io/lentilstream/control/store/MemoryStore.java
+++ b/control/src/test/java/io/lentilstream/control/store/MemoryStore.java
@@ -69,6 +69,14 @@
 		write(key, value, ++this.revision);
 	}
 
+	/**
+	 * Lets leases last longer, as if they had paused in an outage.
+	 * @param millis how much longer, in milliseconds
+	 */
+	public void extendLeases(long millis) {
+		this.leases.replaceAll((lease, end) -> end + millis);
+	}
+
 	/** Forgets the history of changes. */
 	public void compact() {
 		this.history.clear();
