Let Retry-After grow with the length of a store outage

Cause: callers were told to come back after 1 s each time.

Change: RetryAfterRule expects an outage to last as long again as it has lasted, 1 to 4 s; urgent callers return first, others are spread over a second more.

--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -58,6 +58,8 @@
 
 	private final LongSupplier storeReachedAt;
 
+	private final RetryAfterRule retryAfter = new RetryAfterRule();
+
 	/** When the store last failed a submission, in milliseconds. */
 	private long storeFailedAt = Long.MIN_VALUE;
 
@@ -107,6 +109,16 @@
 		});
 	}
 
+	/**
+	 * Says when a caller whose job was refused should come back.
+	 * @param job the job
+	 * @param priority the priority of its queue
+	 * @return whole seconds
+	 */
+	public int retryAfterSeconds(JobId job, int priority) {
+		return this.retryAfter.seconds(this.loop.now() - this.storeReachedAt.getAsLong(), priority, job);
+	}
+
 	// An earlier call for the job may have been stored, here or by another process.
 	private void withoutStore(JobSubmission submission, Consumer<SubmissionLog.Outcome> outcome) {
 		this.link.ask(PeerFrame.Kind.ASK_STATE, submission.id().value(), (frame) -> {
