Refuse submissions that wait behind unanswered commits

Change: after two commits in a row without an answer, what waits is refused at once, and so is what comes, until a commit is answered or none is left in flight. A job is not refused while an earlier call for it is in a commit; this also holds for commits that the store refuses.

SubmissionLogTests covers it.

--- a/control/src/main/java/io/lentilstream/control/api/SubmissionLog.java
+++ b/control/src/main/java/io/lentilstream/control/api/SubmissionLog.java
@@ -1,6 +1,7 @@
 package io.lentilstream.control.api;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -29,12 +30,23 @@
 	/** How often a commit without an answer is made again. */
 	private static final int MAX_REPEATS = 2;
 
+	/**
+	 * Commits in a row without an answer after which the store counts as away. A single
+	 * one may be an answer that was lost.
+	 */
+	private static final int UNANSWERED_WHEN_AWAY = 2;
+
 	private final MetadataStore store;
 
 	private final Map<JobId, Entry> queue = new LinkedHashMap<>();
 
+	/** How many commits in flight hold a job, since callers repeat their calls. */
+	private final Map<JobId, Integer> sent = new HashMap<>();
+
 	private int inFlight;
 
+	private int unanswered;
+
 	/**
 	 * Creates a log.
 	 * @param store the store
@@ -52,6 +64,17 @@
 		Entry entry = this.queue.computeIfAbsent(submission.id(), (id) -> new Entry(submission));
 		entry.outcomes.add(outcome);
 		commitNext();
+		refuseIfAway();
+	}
+
+	// What waits behind commits that get no answer was never sent.
+	private void refuseIfAway() {
+		if (this.unanswered < UNANSWERED_WHEN_AWAY || this.inFlight == 0) {
+			return;
+		}
+		List<Entry> waiting = List.copyOf(this.queue.values());
+		this.queue.clear();
+		waiting.forEach((entry) -> finish(entry, Outcome.REFUSED));
 	}
 
 	private void commitNext() {
@@ -63,6 +86,7 @@
 				entries.remove();
 			}
 			this.inFlight++;
+			batch.forEach((entry) -> this.sent.merge(entry.submission.id(), 1, Integer::sum));
 			commit(batch, 0);
 		}
 	}
@@ -77,8 +101,10 @@
 	}
 
 	private void committed(List<Entry> batch, int repeats, StoreReply<Long> reply) {
+		this.unanswered = (reply instanceof StoreReply.Unknown<Long>) ? this.unanswered + 1 : 0;
 		if (reply instanceof StoreReply.Unknown<Long> && repeats < MAX_REPEATS) {
 			commit(batch, repeats + 1);
+			refuseIfAway();
 			return;
 		}
 		if (reply instanceof StoreReply.Conflict<Long> conflict) {
@@ -87,26 +113,27 @@
 				commit(rest, repeats);
 				return;
 			}
-			finish(rest, Outcome.UNKNOWN);
+			finishSent(rest, Outcome.UNKNOWN);
 		}
 		else if (reply instanceof StoreReply.Ok<Long>) {
-			finish(batch, Outcome.STORED);
+			finishSent(batch, Outcome.STORED);
 		}
 		else {
 			// After a commit without an answer a refusal does not rule out the first one.
 			boolean refused = reply instanceof StoreReply.NotDone<Long> && repeats == 0;
-			finish(batch, refused ? Outcome.REFUSED : Outcome.UNKNOWN);
+			finishSent(batch, refused ? Outcome.REFUSED : Outcome.UNKNOWN);
 		}
 		this.inFlight--;
 		commitNext();
 	}
 
-	private static List<Entry> withoutStored(List<Entry> batch, List<StoredItem> items) {
+	private List<Entry> withoutStored(List<Entry> batch, List<StoredItem> items) {
 		Map<String, StoredItem> found = new LinkedHashMap<>();
 		items.stream().filter(StoredItem::exists).forEach((item) -> found.put(item.key(), item));
 		List<Entry> rest = new ArrayList<>();
 		for (Entry entry : batch) {
 			if (found.containsKey(JobKeys.submission(entry.submission.id()))) {
+				returned(entry);
 				entry.finish(Outcome.STORED);
 			}
 			else {
@@ -116,8 +143,19 @@
 		return rest;
 	}
 
-	private static void finish(List<Entry> batch, Outcome outcome) {
-		batch.forEach((entry) -> entry.finish(outcome));
+	private void finishSent(List<Entry> batch, Outcome outcome) {
+		batch.forEach(this::returned);
+		batch.forEach((entry) -> finish(entry, outcome));
+	}
+
+	private void returned(Entry entry) {
+		this.sent.computeIfPresent(entry.submission.id(), (id, count) -> (count > 1) ? count - 1 : null);
+	}
+
+	// A job is not refused while an earlier call for it may still be stored.
+	private void finish(Entry entry, Outcome outcome) {
+		boolean mayBeStored = outcome == Outcome.REFUSED && this.sent.containsKey(entry.submission.id());
+		entry.finish(mayBeStored ? Outcome.UNKNOWN : outcome);
 	}
 
 	/**
--- a/control/src/test/java/io/lentilstream/control/api/SubmissionLogTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/SubmissionLogTests.java
@@ -76,6 +76,41 @@
 		assertThat(this.store.commits).isLessThanOrEqualTo(9);
 	}
 
+	@Test
+	void submissionsThatWaitBehindCommitsWithoutAnswerAreRefusedAtOnce() {
+		this.store.mode = MemoryStore.Mode.SILENT;
+		for (int i = 0; i < 40; i++) {
+			this.log.store(job("job-" + i), this.outcomes::add);
+		}
+		this.loop.runFor(800);
+		assertThat(this.outcomes).hasSize(38).containsOnly(SubmissionLog.Outcome.REFUSED);
+		this.log.store(job("job-late"), this.outcomes::add);
+		assertThat(this.outcomes).hasSize(39);
+	}
+
+	@Test
+	void aRepeatedCallIsNotRefusedWhileTheFirstOneMayBeStored() {
+		this.store.mode = MemoryStore.Mode.SILENT;
+		this.log.store(job("job-1"), this.outcomes::add);
+		this.log.store(job("job-2"), this.outcomes::add);
+		this.loop.runFor(800);
+		this.log.store(job("job-1"), this.outcomes::add);
+		assertThat(this.outcomes).containsExactly(SubmissionLog.Outcome.UNKNOWN);
+	}
+
+	@Test
+	void aSubmissionIsTriedAgainAfterAllCommitsHaveFailed() {
+		this.store.mode = MemoryStore.Mode.SILENT;
+		this.log.store(job("job-1"), this.outcomes::add);
+		this.log.store(job("job-2"), this.outcomes::add);
+		this.loop.runFor(5000);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.outcomes.clear();
+		this.log.store(job("job-3"), this.outcomes::add);
+		this.loop.runFor(100);
+		assertThat(this.outcomes).containsExactly(SubmissionLog.Outcome.STORED);
+	}
+
 	static JobSubmission job(String id) {
 		StepSpec step = new StepSpec(1, new Resources(1000, 100, 0), 500, List.of(), StepSpec.Traits.NONE,
 				StepSpec.Placement.ANYWHERE, "", 0, -1);
