Do not pass on stale counts of waiting jobs

Change: RecentCounts keeps a count for 1.5 s; after that the caller is told to come back. EvacuationRule no longer changes the waiting flag back and forth.

--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -1,6 +1,5 @@
 package io.lentilstream.control.api;
 
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -54,7 +53,7 @@
 	/** Submissions that may have been stored, so that they must not be called refused. */
 	private final Map<JobId, Long> unresolved = new LinkedHashMap<>();
 
-	private final Map<String, Integer> lastPending = new HashMap<>();
+	private final RecentCounts recentCounts = new RecentCounts();
 
 	private final LongSupplier storeReachedAt;
 
@@ -274,10 +273,11 @@
 			answer.accept(mine);
 			return;
 		}
+		long askedAt = this.loop.now();
 		this.link.ask(PeerFrame.Kind.ASK_PENDING, queue, (frame) -> {
 			frame.filter((found) -> found.kind() == PeerFrame.Kind.PENDING)
-				.ifPresent((found) -> this.lastPending.put(queue, (int) found.number()));
-			answer.accept(Optional.ofNullable(this.lastPending.get(queue)));
+				.ifPresent((found) -> this.recentCounts.keep(queue, (int) found.number(), askedAt));
+			answer.accept(this.recentCounts.freshAt(queue, this.loop.now()));
 		});
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/EvacuationRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/EvacuationRule.java
@@ -52,11 +52,9 @@
 	}
 
 	private boolean hasRoomElsewhere(Task task, long now) {
-		boolean before = task.restarts;
+		// A task that has run may use the headroom.
 		task.restarts = true;
-		Worker place = this.placement.choose(task, this.state.workers.values(), "", now);
-		task.restarts = before;
-		return place != null;
+		return this.placement.choose(task, this.state.workers.values(), "", now) != null;
 	}
 
 }
