Keep filling tasks away where a target is missed for long

The pause of all of them after 2.5 s began anew with each rough report just below the target, and did not keep new ones away.

Change: the time over a target ends only below 0.9 of it; after 0.9 s no filling task joins, after 1.5 s all pause.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PacingRule.java
@@ -18,6 +18,12 @@
 	/** Part of its target from which a serving task counts as disturbed. */
 	private static final double DISTURBED = 0.95;
 
+	/**
+	 * Part of its target under which a serving task has to come before the time over its
+	 * target ends, since reported tails are rough.
+	 */
+	private static final double RELIEVED = 0.9;
+
 	/** Part of its target that a serving task is meant to stay under. */
 	private static final double GOAL = 0.8;
 
@@ -28,7 +34,7 @@
 	 * Time over its target after which those that seem harmless pause too, in
 	 * milliseconds.
 	 */
-	private static final long PAUSE_ALL_MILLIS = 2500;
+	private static final long PAUSE_ALL_MILLIS = 1500;
 
 	private static final int FULL_PACE = 100;
 
@@ -68,7 +74,12 @@
 		}
 		learn(serving, filling);
 		double pressure = serving.stream().mapToDouble(DisturbanceForecast::ratio).max().orElse(0);
-		worker.pressedSince = (pressure < 1) ? -1 : (worker.pressedSince < 0) ? now : worker.pressedSince;
+		if (pressure >= 1 && worker.pressedSince < 0) {
+			worker.pressedSince = now;
+		}
+		else if (pressure < RELIEVED) {
+			worker.pressedSince = -1;
+		}
 		serving.stream().filter((run) -> DisturbanceForecast.ratio(run) >= 1).forEach((run) -> run.pressedAt = now);
 		long pressed = (worker.pressedSince >= 0) ? now - worker.pressedSince : 0;
 		if (pressed >= PAUSE_ALL_MILLIS) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementRule.java
@@ -24,6 +24,12 @@
 	 */
 	private static final long PRESSED_MILLIS = 1500;
 
+	/**
+	 * Time over a target from which all filling tasks keep away, in milliseconds, since
+	 * the target is missed for a reason that is not known.
+	 */
+	private static final long LONG_PRESSED_MILLIS = 900;
+
 	/** Part of its target that a serving task is meant to stay under. */
 	private static final double TAIL_GOAL = 0.8;
 
@@ -95,7 +101,8 @@
 		if (worker.serving == 0) {
 			return true;
 		}
-		return tailsStayLow(task, worker, now);
+		boolean longPressed = worker.pressedSince >= 0 && now - worker.pressedSince >= LONG_PRESSED_MILLIS;
+		return !longPressed && tailsStayLow(task, worker, now);
 	}
 
 	private boolean tailsStayLow(Task filling, Worker worker, long now) {
