Look for another leader when the lease may have ended

Cause: a leader that was cut off from the store, not from its peers, was followed until it gave up 4 s later.

Change: the answer to a ping says whether the lease may have ended; followers then look into the store.

--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -295,7 +295,8 @@
 			case ASK_PENDING -> mine.flatMap((leading) -> leading.pending(frame.subject()))
 				.map((count) -> frame.answer(PeerFrame.Kind.PENDING, count))
 				.orElseGet(() -> frame.answer(PeerFrame.Kind.NOT_LEADING, 0));
-			case PING -> frame.answer(mine.isPresent() ? PeerFrame.Kind.PONG : PeerFrame.Kind.NOT_LEADING, 0);
+			case PING -> mine.map((leading) -> frame.answer(PeerFrame.Kind.PONG, leading.leaseHeld() ? 1 : 0))
+				.orElseGet(() -> frame.answer(PeerFrame.Kind.NOT_LEADING, 0));
 			case SUBMITTED -> {
 				mine.ifPresent((leading) -> takeSubmission(leading, frame));
 				yield null;
--- a/control/src/main/java/io/lentilstream/control/peers/LeaderLink.java
+++ b/control/src/main/java/io/lentilstream/control/peers/LeaderLink.java
@@ -56,7 +56,8 @@
 	 * @param loop the event loop
 	 * @param group the group of the event loop
 	 * @param log takes a line for each lost or regained connection
-	 * @param lost is run when the leader is not reached or does not lead
+	 * @param lost is run when the leader is not reached, does not lead, or may have lost
+	 * its lease
 	 */
 	public LeaderLink(EventLoop loop, EventLoopGroup group, DecisionLog log, Runnable lost) {
 		this.loop = loop;
@@ -163,6 +164,10 @@
 			}
 			boolean alive = answer.filter((frame) -> frame.kind() == PeerFrame.Kind.PONG).isPresent();
 			this.unanswered = alive ? 0 : this.unanswered + 1;
+			if (alive && answer.get().number() == 0) {
+				// The leader may have lost the store, so another one may be needed.
+				this.lost.run();
+			}
 			if (answer.isPresent() && !alive || this.unanswered > 1) {
 				InetSocketAddress former = this.leader;
 				this.log.note("leader-link-lost", String.valueOf(former), "unanswered", this.unanswered);
--- a/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
@@ -96,7 +96,7 @@
 		/** The number is that of the waiting jobs. */
 		PENDING,
 
-		/** Answers a ping. */
+		/** Answers a ping; the number is 0 if the lease of the leader may have ended. */
 		PONG,
 
 		/** The process does not lead; answers any question. */
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -86,6 +86,8 @@
 
 	private final IntakeGate gate;
 
+	private final BooleanSupplier leaseHeld;
+
 	private final long token;
 
 	private final long startedAt;
@@ -115,6 +117,7 @@
 	public Term(Tools tools, Leadership.Mandate mandate, WorkerPlatform platform, SchedulerSettings settings,
 			long keepMillis, Consumer<String> resign, BooleanSupplier leaseHeld, LongSupplier storeSteadySince) {
 		this.gate = new IntakeGate(leaseHeld);
+		this.leaseHeld = leaseHeld;
 		this.loop = tools.loop();
 		this.store = tools.store();
 		this.log = tools.log();
@@ -222,6 +225,14 @@
 		return this.begun ? this.scheduler.state(job) : Optional.empty();
 	}
 
+	/**
+	 * Tells whether no other process can have been elected.
+	 * @return {@code false} if the lease may have ended
+	 */
+	public boolean leaseHeld() {
+		return this.leaseHeld.getAsBoolean();
+	}
+
 	/**
 	 * Counts the jobs of a queue of which no task has started.
 	 * @param queue the name of the queue
