Start new jobs at once after a takeover, and end the leader's lease after an outage

Change: a job is recorded in the store, on condition of the leader's item, before its first start, so a successor starts unrecorded jobs at once; steps behind a task that is seen running need not wait either. A stopped leader only extends leases of tasks and repeats the end of its own lease until the store answers. A pass evaluates the VMs once a step and takes half of the time at most. A fenced speed command resigns. Idle reports wait 1 s, which bounds what a predecessor may still hear. Ruled out: the order of the election; it takes 0.1 s once the lease is gone. Tests: TakeoverTests, LeadershipTests; four of the former and the latter's failed before.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -109,6 +109,15 @@
 		this.leadership.resign("shutdown", true);
 	}
 
+	/**
+	 * Returns whether another process may be elected as the leader without waiting for a
+	 * lease of this one.
+	 * @return {@code false} while the store has not confirmed the end of the lease
+	 */
+	public boolean released() {
+		return this.leadership.released();
+	}
+
 	/**
 	 * Returns the service that handles the requests of clients.
 	 * @return the service
@@ -196,6 +205,13 @@
 			node.term.start();
 		}
 
+		@Override
+		public void leadershipEnding() {
+			if (ControlNode.this.term != null) {
+				ControlNode.this.term.holdOnly();
+			}
+		}
+
 		@Override
 		public void leadershipLost() {
 			if (ControlNode.this.term != null) {
--- a/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
@@ -54,6 +54,11 @@
 
 	private final Listener listener;
 
+	/**
+	 * Time between two attempts to end the lease during a shutdown, in milliseconds.
+	 */
+	private static final long RELEASE_RETRY_MILLIS = 100;
+
 	/**
 	 * Time until the next check after revoking the own lease, in milliseconds.
 	 */
@@ -73,6 +78,8 @@
 
 	private boolean resigned;
 
+	private boolean releaseInFlight;
+
 	private long leaderlessSince = -1;
 
 	/**
@@ -140,7 +147,13 @@
 	 */
 	public void resign(String reason, boolean permanently) {
 		this.resigned |= permanently;
-		if (this.state == State.LEADING) {
+		if (permanently && this.state == State.LEADING) {
+			this.state = State.RELEASING;
+			this.log.append("leadership-releasing", this.candidate.node(), "reason", reason);
+			this.listener.leadershipEnding();
+			release(this.lease);
+		}
+		else if (this.state == State.LEADING || this.state == State.RELEASING) {
 			long heldLease = this.lease;
 			stepDown(reason);
 			this.store.revokeLease(heldLease,
@@ -148,6 +161,31 @@
 		}
 	}
 
+	/**
+	 * Returns whether this process holds no lease that keeps others from being elected.
+	 * @return {@code false} while the store has not confirmed the end of the lease
+	 */
+	public boolean released() {
+		return this.state == State.FOLLOWING && !this.releaseInFlight;
+	}
+
+	// Without retries, an election after an outage of the store would wait for the lease
+	// to expire, and leases of tasks would expire meanwhile.
+	private void release(long heldLease) {
+		this.releaseInFlight = true;
+		this.store.revokeLease(heldLease, (reply) -> {
+			this.log.append("lease-ended", this.candidate.node(), "reply", reply);
+			if (!(reply instanceof StoreReply.Ok<?> || reply instanceof StoreReply.Gone<?>)) {
+				this.loop.schedule(RELEASE_RETRY_MILLIS, () -> release(heldLease));
+				return;
+			}
+			this.releaseInFlight = false;
+			if (this.state == State.RELEASING) {
+				stepDown("lease ended");
+			}
+		});
+	}
+
 	private void leaderRead(StoreReply<StoredItem> reply) {
 		this.checkInFlight = false;
 		if (this.state != State.FOLLOWING) {
@@ -260,6 +298,12 @@
 	}
 
 	private void becomeLeader(long fencingToken) {
+		if (this.resigned) {
+			// The shutdown began while the claim was being stored.
+			this.state = State.RELEASING;
+			release(this.lease);
+			return;
+		}
 		this.state = State.LEADING;
 		this.leader = this.claim;
 		this.leaderlessSince = -1;
@@ -307,7 +351,10 @@
 
 	private enum State {
 
-		FOLLOWING, CAMPAIGNING, LEADING
+		FOLLOWING, CAMPAIGNING, LEADING,
+
+		/** This process is shutting down and ends its lease. */
+		RELEASING
 
 	}
 
@@ -346,6 +393,12 @@
 		 */
 		void leadershipWon(LeaderTerm leaderTerm);
 
+		/**
+		 * Called when this process starts to end its lease, because it is shutting down.
+		 * A successor may be elected at any time from now on.
+		 */
+		void leadershipEnding();
+
 		/**
 		 * Called when this process is no longer the leader.
 		 */
--- a/control/src/main/java/io/lentilstream/control/term/ProgressWriter.java
+++ b/control/src/main/java/io/lentilstream/control/term/ProgressWriter.java
@@ -47,6 +47,9 @@
 
 	private final Runnable onSuperseded;
 
+	/** Called when tasks may start because a change is stored. */
+	private final Runnable onStartable;
+
 	private final Map<JobId, Long> revisions = new HashMap<>();
 
 	private boolean inFlight;
@@ -58,12 +61,13 @@
 	private boolean stopped;
 
 	ProgressWriter(EventLoop loop, MetadataStore store, JobScheduler scheduler, long fencingToken,
-			Runnable onSuperseded) {
+			Runnable onSuperseded, Runnable onStartable) {
 		this.loop = loop;
 		this.store = store;
 		this.scheduler = scheduler;
 		this.fencingToken = fencingToken;
 		this.onSuperseded = onSuperseded;
+		this.onStartable = onStartable;
 	}
 
 	void setRevision(JobId job, long revision) {
@@ -87,7 +91,7 @@
 			return;
 		}
 		long now = this.loop.now();
-		long delay = this.scheduler.hasUrgentChanges() ? URGENT_BATCH_DELAY_MILLIS : BATCH_DELAY_MILLIS;
+		long delay = batchDelayMillis();
 		if (this.commitAt == Long.MAX_VALUE) {
 			this.commitAt = now + delay;
 		}
@@ -99,6 +103,13 @@
 		this.loop.schedule(this.commitAt - now, this::commitIfDue);
 	}
 
+	private long batchDelayMillis() {
+		if (this.scheduler.hasFirstStartWaiting()) {
+			return 0;
+		}
+		return this.scheduler.hasUrgentChanges() ? URGENT_BATCH_DELAY_MILLIS : BATCH_DELAY_MILLIS;
+	}
+
 	private void commit() {
 		this.inFlight = true;
 		this.commitAt = Long.MAX_VALUE;
@@ -119,9 +130,13 @@
 			return;
 		}
 		if (reply instanceof StoreReply.Ok<Long> revision) {
+			boolean startable = false;
 			for (JobScheduler.Change change : changes) {
 				this.revisions.put(change.progress().job(), revision.value());
-				this.scheduler.changeStored(change);
+				startable |= this.scheduler.changeStored(change);
+			}
+			if (startable) {
+				this.onStartable.run();
 			}
 			commitIfDue();
 			return;
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -136,8 +136,8 @@
 				this.log, this.loop::now, this.loop::wallClockMillis,
 				new LeadershipLease(leaderTerm.number() * RUNS_PER_TERM, leaderTerm.leaseValidUntil()));
 		Runnable onSuperseded = () -> resign.accept("superseded by another leader in the store");
-		this.progressWriter = new ProgressWriter(this.loop, this.store, this.scheduler, this.fencingToken,
-				onSuperseded);
+		this.progressWriter = new ProgressWriter(this.loop, this.store, this.scheduler, this.fencingToken, onSuperseded,
+				this::tickSoon);
 		this.registry = new WorkerRegistry(this.loop, this.store, this.scheduler, this.fencingToken, onSuperseded);
 		this.intake = new PrefixWatcher(this.loop, this.store, this.log, JobKeys.INTAKE, INTAKE_TIMING,
 				new IntakeListener());
@@ -162,6 +162,14 @@
 		this.store.read(JobKeys.INTERFERENCE, initialState::interferenceRead);
 	}
 
+	/**
+	 * Only extends the leases of running tasks from now on, since a successor is about to
+	 * take over.
+	 */
+	public void holdOnly() {
+		this.scheduler.holdOnly();
+	}
+
 	/**
 	 * Stops scheduling and closes the connections to VMs.
 	 */
--- a/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
+++ b/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
@@ -85,6 +85,42 @@
 		assertThat(this.first.terms).containsExactly(0, 1);
 	}
 
+	@Test
+	void aLeaderStoppedDuringAnOutageEndsItsLeaseWhenTheStoreReturns() {
+		this.first.leadership.checkLeader();
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.SILENT;
+		this.loop.runFor(900);
+		this.first.leadership.resign("shutdown", true);
+		this.loop.runFor(3600);
+		assertThat(this.first.leadership.released()).isFalse();
+		assertThat(this.first.ending).isEqualTo(1);
+		assertThat(this.first.lost).isZero();
+		this.store.extendLeases(4500);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(1300);
+		assertThat(this.first.leadership.released()).isTrue();
+		assertThat(this.first.lost).isEqualTo(1);
+		this.second.leadership.checkLeader();
+		this.loop.runFor(300);
+		assertThat(this.second.leadership.leading()).isTrue();
+	}
+
+	@Test
+	void aProcessStoppedWhileItsClaimIsStoredEndsItsLeaseAtOnce() {
+		this.first.leadership.checkLeader();
+		while (this.store.commits == 0) {
+			this.loop.runFor(1);
+		}
+		this.first.leadership.resign("shutdown", true);
+		this.loop.runFor(100);
+		assertThat(this.first.terms).isEmpty();
+		assertThat(this.first.leadership.released()).isTrue();
+		this.second.leadership.checkLeader();
+		this.loop.runFor(300);
+		assertThat(this.second.leadership.leading()).isTrue();
+	}
+
 	@Test
 	void aProcessWithACandidacyDelayWaitsBeforeItLeads() {
 		Process delayed = new Process("w", 800);
@@ -108,6 +144,8 @@
 
 		private int lost;
 
+		private int ending;
+
 		Process(String node, long candidacyDelayMillis) {
 			this.leadership = new Leadership(LeadershipTests.this.loop, LeadershipTests.this.store,
 					(decision, subject, inputs) -> {
@@ -122,6 +160,11 @@
 			this.terms.add(leaderTerm.number());
 		}
 
+		@Override
+		public void leadershipEnding() {
+			this.ending++;
+		}
+
 		@Override
 		public void leadershipLost() {
 			this.lost++;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
@@ -182,6 +182,9 @@
 	private void handleResult(Run run, int previousPercent, CommandResult result) {
 		run.speedChangeInFlight = false;
 		run.progressedAt = this.state.now();
+		if (result instanceof CommandResult.Refused refused && refused.reason() == CommandResult.Refusal.FENCED) {
+			this.state.fenced = true;
+		}
 		if (!(result instanceof CommandResult.Done)) {
 			// The next report triggers another attempt.
 			run.speedPercent = previousPercent;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -31,6 +31,13 @@
 	/** When this scheduler received the job, in milliseconds on the monotonic clock. */
 	final long knownSince;
 
+	/**
+	 * Whether stored progress shows that tasks may have been started. The first task of a
+	 * job starts only after this is stored, so a successor may start all tasks of a job
+	 * without stored progress at once.
+	 */
+	boolean recorded;
+
 	/** The version of the progress, incremented by each change that has to be stored. */
 	long version;
 
@@ -102,6 +109,10 @@
 		return !this.state.ended();
 	}
 
+	boolean recorded() {
+		return this.recorded;
+	}
+
 	boolean hasStarted() {
 		return this.state != JobState.QUEUED;
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
@@ -73,7 +74,7 @@
 		this.runEndHandler = new RunEndHandler(this.state, this.runStopper, this.progression, circuitBreaker);
 		RunStarter runStarter = new RunStarter(this.state, this.runEndHandler, circuitBreaker);
 		this.reportHandler = new ReportHandler(this.state, runStarter, this.runEndHandler, this.runStopper,
-				new BestEffortThrottle(this.state, forecast));
+				this.takeover, new BestEffortThrottle(this.state, forecast));
 		this.reportPoller = new ReportPoller(this.state, this.reportHandler, this.runEndHandler);
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
 				workerSelector);
@@ -96,12 +97,16 @@
 			return;
 		}
 		this.progression.startDueOccurrences(job, now);
+		if (!job.recorded) {
+			return;
+		}
 		for (Integer occurrence : List.copyOf(job.occurrences.keySet())) {
 			restoreOccurrence(job, occurrence, now);
 		}
 	}
 
 	private void restoreProgress(Job job, JobProgress stored) {
+		job.recorded = true;
 		job.state = stored.state();
 		job.storedState = stored.state();
 		job.endedAtMillis = stored.endedAtMillis();
@@ -271,6 +276,10 @@
 	 */
 	public void tick() {
 		long now = this.state.now();
+		if (this.state.holdOnly) {
+			this.state.workers.values().forEach((worker) -> this.reportPoller.requestReportIfDue(worker, now));
+			return;
+		}
 		completeTakeoverIfDue(now);
 		Iterator<Worker> workers = this.state.workers.values().iterator();
 		while (workers.hasNext()) {
@@ -291,6 +300,9 @@
 	 * and draining VMs. Must be called several times per second.
 	 */
 	public void runPeriodicChecks() {
+		if (this.state.holdOnly) {
+			return;
+		}
 		long now = this.state.now();
 		for (Job job : List.copyOf(this.state.jobs.values())) {
 			if (job.active() && job.nextOccurrence < job.submission.schedule().occurrences()) {
@@ -331,6 +343,14 @@
 				&& (!worker.lease.clockKnown() || worker.lease.certainlyExpired(now));
 	}
 
+	/**
+	 * Stops to start and stop tasks, since a successor is about to take over. Reports are
+	 * still requested, which extends the leases of running tasks until then.
+	 */
+	public void holdOnly() {
+		this.state.holdOnly = true;
+	}
+
 	/**
 	 * Tells whether this scheduler is fenced off, since a newer scheduler sends commands
 	 * to the VMs.
@@ -357,36 +377,50 @@
 	}
 
 	/**
-	 * Removes and returns changes to be stored; those of ended jobs come first. Each
-	 * change must be passed to {@link #changeStored} or {@link #changeNotStored}.
+	 * Tells whether the first task of a job waits for a change to be stored.
+	 * @return {@code true} if the changes should be stored without any delay
+	 */
+	public boolean hasFirstStartWaiting() {
+		return this.state.firstStartWaiting;
+	}
+
+	/**
+	 * Removes and returns changes to be stored; those of jobs whose first task waits for
+	 * it come first, then those of ended jobs. Each change must be passed to
+	 * {@link #changeStored} or {@link #changeNotStored}.
 	 * @param maxChanges the largest number of changes to return
 	 * @return the changes
 	 */
 	public List<Change> pollChanges(int maxChanges) {
 		List<Job> jobs = new ArrayList<>(this.state.changedJobs);
-		jobs.sort((first, second) -> Boolean.compare(first.active(), second.active()));
+		jobs.sort(Comparator.comparing(Job::recorded).thenComparing(Job::active));
 		List<Change> changes = new ArrayList<>();
 		for (Job job : jobs.subList(0, Math.min(maxChanges, jobs.size()))) {
 			this.state.changedJobs.remove(job);
 			changes.add(new Change(job.progress(), job.version));
 		}
 		this.state.urgentChange = this.state.changedJobs.stream().anyMatch((job) -> !job.active());
+		this.state.firstStartWaiting = this.state.changedJobs.stream().anyMatch((job) -> !job.recorded);
 		return changes;
 	}
 
 	/**
 	 * Confirms that a change is stored.
 	 * @param change the change
+	 * @return whether the first task of the job may start from now on
 	 */
-	public void changeStored(Change change) {
+	public boolean changeStored(Change change) {
 		Job job = this.state.jobs.get(change.progress().job());
 		if (job == null) {
-			return;
+			return false;
 		}
+		boolean firstRecord = !job.recorded;
 		job.storedVersion = Math.max(job.storedVersion, change.version());
+		job.recorded = true;
 		if (change.progress().state().ended()) {
 			job.storedState = change.progress().state();
 		}
+		return firstRecord && job.active();
 	}
 
 	/**
@@ -398,6 +432,7 @@
 		if (job != null && job.storedVersion < change.version()) {
 			this.state.changedJobs.add(job);
 			this.state.urgentChange |= !job.active();
+			this.state.firstStartWaiting |= !job.recorded;
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -1,6 +1,7 @@
 package io.lentilstream.jobs.scheduling;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -28,6 +29,17 @@
 
 	private final RunStarter runStarter;
 
+	/**
+	 * The capacity kept during a pass for tasks whose job is being recorded, so that
+	 * tasks behind them do not take it.
+	 */
+	private final List<Run> reserved = new ArrayList<>();
+
+	private final Map<StepState, StepCandidates> candidates = new HashMap<>();
+
+	/** When the next pass may begin, in milliseconds. */
+	private long nextPassAt = Long.MIN_VALUE;
+
 	PlacementPass(SchedulerState state, WorkerSelector workerSelector, RunStarter runStarter) {
 		this.state = state;
 		this.workerSelector = workerSelector;
@@ -35,10 +47,24 @@
 	}
 
 	/**
-	 * Starts the waiting tasks for which there is capacity.
+	 * Starts the waiting tasks for which there is capacity. Passes take half of the
+	 * processor time at most, so that reports and the renewal of the leader's lease are
+	 * not delayed while thousands of tasks wait.
 	 * @param now the current time in milliseconds
 	 */
 	void run(long now) {
+		if (now < this.nextPassAt) {
+			return;
+		}
+		place(now);
+		this.reserved.forEach((run) -> run.worker.remove(run));
+		this.reserved.clear();
+		this.candidates.clear();
+		long end = this.state.now();
+		this.nextPassAt = end + (end - now);
+	}
+
+	private void place(long now) {
 		Set<StepState> blockedSteps = new HashSet<>();
 		Map<Requirements, Resources> refusedSizes = new HashMap<>();
 		for (Task task : List.copyOf(this.state.waiting)) {
@@ -51,12 +77,13 @@
 			if (smallestRefused != null && smallestRefused.fitsWithin(task.spec().size())) {
 				continue;
 			}
-			boolean started = task.spec().traits().gang() ? startGang(task.step, now) : start(task, now);
-			if (!started) {
-				blockedSteps.add(task.step);
-				if (requirements.comparable()) {
-					refusedSizes.put(requirements, task.spec().size());
-				}
+			Outcome outcome = task.spec().traits().gang() ? startGang(task.step, now) : start(task, now);
+			if (outcome == Outcome.STARTED || outcome == Outcome.NOT_RECORDED && !task.spec().traits().gang()) {
+				continue;
+			}
+			blockedSteps.add(task.step);
+			if (outcome == Outcome.NO_CAPACITY && requirements.comparable()) {
+				refusedSizes.put(requirements, task.spec().size());
 			}
 		}
 	}
@@ -76,17 +103,32 @@
 		}
 	}
 
-	private boolean start(Task task, long now) {
-		String rack = task.spec().placement().sameRack() ? rackOf(task.step) : ANY_RACK;
-		Worker worker = this.workerSelector.choose(task, this.state.workers.values(), rack, now);
-		if (worker == null && !rack.isEmpty()) {
-			worker = this.workerSelector.choose(task, this.state.workers.values(), ANY_RACK, now);
-		}
+	private Outcome start(Task task, long now) {
+		Worker worker = choose(task, now);
 		if (worker == null) {
-			return false;
+			return Outcome.NO_CAPACITY;
+		}
+		if (!this.state.recordBeforeFirstStart(task.job)) {
+			reserve(task, worker, now);
+			return Outcome.NOT_RECORDED;
 		}
 		this.runStarter.start(task, worker, this.runStarter.nextRunNumber(task), now);
-		return true;
+		return Outcome.STARTED;
+	}
+
+	private Worker choose(Task task, long now) {
+		Collection<Worker> workers = this.state.workers.values();
+		if (StepCandidates.suits(task)) {
+			return this.candidates
+				.computeIfAbsent(task.step, (step) -> new StepCandidates(this.workerSelector, task, workers, now))
+				.best(task, now);
+		}
+		String rack = task.spec().placement().sameRack() ? rackOf(task.step) : ANY_RACK;
+		Worker worker = this.workerSelector.choose(task, workers, rack, now);
+		if (worker == null && !rack.isEmpty()) {
+			worker = this.workerSelector.choose(task, workers, ANY_RACK, now);
+		}
+		return worker;
 	}
 
 	private static String rackOf(StepState step) {
@@ -98,9 +140,19 @@
 		return ANY_RACK;
 	}
 
-	private boolean startGang(StepState step, long now) {
+	private void reserve(Task task, Worker worker, long now) {
+		this.reserved.add(addReservation(task, worker, now));
+	}
+
+	private static Run addReservation(Task task, Worker worker, long now) {
+		Run run = new Run(task, 0, worker, now);
+		worker.add(run);
+		return run;
+	}
+
+	private Outcome startGang(StepState step, long now) {
 		if (!step.tasks.stream().allMatch((task) -> task.startable() && task.notBefore <= now)) {
-			return false;
+			return Outcome.NO_CAPACITY;
 		}
 		Map<Task, Worker> assignments = Map.of();
 		if (step.spec.placement().sameRack()) {
@@ -114,11 +166,18 @@
 		if (assignments.isEmpty()) {
 			assignments = assignWorkers(step, ANY_RACK, now);
 		}
+		if (assignments.isEmpty()) {
+			return Outcome.NO_CAPACITY;
+		}
+		if (!this.state.recordBeforeFirstStart(step.tasks.get(0).job)) {
+			assignments.forEach((member, worker) -> reserve(member, worker, now));
+			return Outcome.NOT_RECORDED;
+		}
 		int number = step.tasks.stream().mapToInt(this.runStarter::nextRunNumber).max().orElse(0);
 		for (Map.Entry<Task, Worker> assignment : assignments.entrySet()) {
 			this.runStarter.start(assignment.getKey(), assignment.getValue(), number, now);
 		}
-		return !assignments.isEmpty();
+		return Outcome.STARTED;
 	}
 
 	private Set<String> racks() {
@@ -131,22 +190,36 @@
 	// Reserves capacity temporarily, so that no two members are assigned the same.
 	private Map<Task, Worker> assignWorkers(StepState step, String rack, long now) {
 		Map<Task, Worker> assignments = new LinkedHashMap<>();
-		List<Run> reserved = new ArrayList<>();
+		List<Run> members = new ArrayList<>();
 		for (Task task : step.tasks) {
 			Worker worker = this.workerSelector.choose(task, this.state.workers.values(), rack, now);
 			if (worker == null) {
 				assignments.clear();
 				break;
 			}
-			Run run = new Run(task, 0, worker, now);
-			worker.add(run);
-			reserved.add(run);
+			members.add(addReservation(task, worker, now));
 			assignments.put(task, worker);
 		}
-		reserved.forEach((run) -> run.worker.remove(run));
+		members.forEach((run) -> run.worker.remove(run));
 		return assignments;
 	}
 
+	/**
+	 * The outcome of an attempt to start a task or gang.
+	 */
+	private enum Outcome {
+
+		/** Commands were sent. */
+		STARTED,
+
+		/** No VM has capacity, or members of the gang cannot start yet. */
+		NO_CAPACITY,
+
+		/** Capacity is reserved, but the job has to be recorded in the store first. */
+		NOT_RECORDED
+
+	}
+
 	/**
 	 * The requirements of a task on its VM. If no VM fits a task, then none fits a task
 	 * with the same requirements that is at least as large.
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -19,14 +19,17 @@
 
 	private final RunStopper runStopper;
 
+	private final TakeoverTracker takeover;
+
 	private final BestEffortThrottle throttle;
 
 	ReportHandler(SchedulerState state, RunStarter runStarter, RunEndHandler runEndHandler, RunStopper runStopper,
-			BestEffortThrottle throttle) {
+			TakeoverTracker takeover, BestEffortThrottle throttle) {
 		this.state = state;
 		this.runStarter = runStarter;
 		this.runEndHandler = runEndHandler;
 		this.runStopper = runStopper;
+		this.takeover = takeover;
 		this.throttle = throttle;
 	}
 
@@ -44,6 +47,7 @@
 		worker.lease.recordClock(report.clockMillis(), sent, now);
 		if (!worker.hasReported) {
 			worker.hasReported = true;
+			worker.firstReportAt = now;
 			this.state.log.append("worker-opened", worker, "running", report.running().size(), "ended",
 					report.ended().size());
 		}
@@ -55,14 +59,16 @@
 		Set<Run.RunKey> reportedRuns = new HashSet<>();
 		for (TaskReport.Running reported : report.running()) {
 			reportedRuns.add(new Run.RunKey(reported.task(), reported.run()));
-			handleRunning(worker, reported, now);
+			handleRunning(worker, reported, sent, now);
 		}
 		for (Run run : List.copyOf(worker.runs.values())) {
 			if (!reportedRuns.contains(run.key())) {
 				handleAbsent(run, sent, now);
 			}
 		}
-		this.throttle.apply(worker, now);
+		if (!this.state.holdOnly) {
+			this.throttle.apply(worker, now);
+		}
 	}
 
 	/**
@@ -100,7 +106,7 @@
 		worker.unstoredEnds.add(new Worker.UnstoredEnd(end.number(), task.job, task.job.version));
 	}
 
-	private void handleRunning(Worker worker, TaskReport.Running reported, long now) {
+	private void handleRunning(Worker worker, TaskReport.Running reported, long sent, long now) {
 		Run run = worker.runs.get(new Run.RunKey(reported.task(), reported.run()));
 		if (run == null) {
 			run = adoptOrStop(worker, reported, now);
@@ -108,6 +114,7 @@
 		if (run == null) {
 			return;
 		}
+		this.takeover.ruleOutDependents(run, sent);
 		if (run.phase != Run.Phase.RUNNING) {
 			this.runStarter.markRunning(run, now);
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
@@ -16,7 +16,7 @@
 	private static final long WAIT_MILLIS = 500;
 
 	/** How long a VM without runs may delay a report, in milliseconds. */
-	private static final long IDLE_WAIT_MILLIS = 2000;
+	static final long IDLE_WAIT_MILLIS = 1000;
 
 	/**
 	 * The interval between report requests while ends are not stored, in milliseconds.
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStopper.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStopper.java
@@ -27,7 +27,8 @@
 	}
 
 	void sendIfDue(Run run, long now) {
-		if (!run.stopRequested || run.stopInFlight || run.stopConfirmedAt >= 0 || now < run.nextStopAt) {
+		if (this.state.holdOnly || !run.stopRequested || run.stopInFlight || run.stopConfirmedAt >= 0
+				|| now < run.nextStopAt) {
 			return;
 		}
 		run.stopInFlight = true;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -42,6 +42,12 @@
 	/** Whether there is a change to be stored for which a caller may be waiting. */
 	boolean urgentChange;
 
+	/** Whether the first task of a job waits for a change to be stored. */
+	boolean firstStartWaiting;
+
+	/** Whether only leases are extended, since a successor may start at any time. */
+	boolean holdOnly;
+
 	/** Whether a VM has accepted commands from a newer scheduler. */
 	boolean fenced;
 
@@ -76,6 +82,20 @@
 		}
 	}
 
+	/**
+	 * Tells whether tasks of a job may be started, and requests a record in the store if
+	 * there is none yet.
+	 * @param job the job
+	 * @return {@code false} until the record is stored
+	 */
+	boolean recordBeforeFirstStart(Job job) {
+		if (!job.recorded && job.version == 0) {
+			markChanged(job);
+			this.firstStartWaiting = true;
+		}
+		return job.recorded;
+	}
+
 	void markChanged(Job job) {
 		job.version++;
 		this.changedJobs.add(job);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
@@ -34,6 +34,11 @@
 		}
 	}
 
+	/**
+	 * Whether no predecessor can have started tasks of the steps that depend on this one.
+	 */
+	boolean dependentsRuledOut;
+
 	boolean complete() {
 		return this.done == this.tasks.size();
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
@@ -1,9 +1,12 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
+import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
 
@@ -66,6 +69,40 @@
 		return this.unreported.isEmpty();
 	}
 
+	/**
+	 * Rules out that tasks were started whose dependencies include a task that is still
+	 * in progress, so that they need not wait for VMs that have not reported.
+	 * @param run the run that a VM has reported to be in progress
+	 * @param sent when the report was requested, in milliseconds
+	 */
+	void ruleOutDependents(Run run, long sent) {
+		StepSpec.Traits traits = run.task.spec().traits();
+		boolean earlyEndPossible = traits.speculative() || traits.gang();
+		if (run.task.step.dependentsRuledOut || earlyEndPossible || run.worker.firstReportAt < 0
+				|| sent - run.worker.firstReportAt <= ReportPoller.IDLE_WAIT_MILLIS) {
+			return;
+		}
+		run.task.step.dependentsRuledOut = true;
+		List<StepState> steps = run.task.job.occurrences.getOrDefault(run.task.step.occurrence, List.of());
+		if (!steps.contains(run.task.step)) {
+			return;
+		}
+		for (StepState step : dependents(steps, run.task.step)) {
+			step.tasks.forEach((task) -> task.possiblyRunning = false);
+		}
+	}
+
+	private static List<StepState> dependents(List<StepState> steps, StepState origin) {
+		List<StepState> found = new ArrayList<>(List.of(origin));
+		for (StepState step : steps) {
+			if (step.spec.dependsOn().stream().anyMatch((number) -> found.contains(steps.get(number)))) {
+				found.add(step);
+			}
+		}
+		found.remove(origin);
+		return found;
+	}
+
 	boolean waitsFor(WorkerId id) {
 		return this.unreported.containsKey(id);
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -28,6 +28,13 @@
 	 */
 	boolean hasReported;
 
+	/**
+	 * When the current incarnation sent this scheduler its first report, in milliseconds;
+	 * negative if it has not. From then on it ignores commands of predecessors, except
+	 * for report requests that it has not answered yet.
+	 */
+	long firstReportAt = -1;
+
 	WorkerLease lease = new WorkerLease();
 
 	Incarnation incarnation = new Incarnation();
@@ -101,6 +108,7 @@
 		this.incarnationStartMillis = startMillis;
 		this.incarnation = new Incarnation();
 		this.hasReported = false;
+		this.firstReportAt = -1;
 		this.lease = new WorkerLease();
 		this.lastEndNumber = 0;
 		this.acknowledged = 0;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -87,7 +87,7 @@
 		return best;
 	}
 
-	private boolean eligible(Task task, Worker worker, String rack, long now) {
+	boolean eligible(Task task, Worker worker, String rack, long now) {
 		StepSpec spec = task.spec();
 		StepSpec.Placement placement = spec.placement();
 		if (!worker.acceptsTasks(now) || !worker.listing.service().equals(task.job.policy.service())) {
@@ -162,7 +162,7 @@
 		return sum * TailForecast.requestedShare(bestEffort, worker);
 	}
 
-	private double score(Task task, Worker worker) {
+	double score(Task task, Worker worker) {
 		StepSpec spec = task.spec();
 		Resources capacity = worker.listing.capacity();
 		double score = 0;
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/ReorderedReportTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/ReorderedReportTests.java
@@ -86,6 +86,9 @@
 		this.scheduler
 			.submit(new JobSubmission(new JobId("job-1"), "q0", new QueuePolicy(VirtualWorker.SERVICE, 0, 3, 2, 500),
 					"payload", List.of(VirtualWorld.step(1, 1000, 3000)), JobSubmission.Schedule.ONCE, this.now));
+		this.scheduler.tick();
+		this.scheduler.pollChanges(1).forEach(this.scheduler::changeStored);
+		answerWithEmptyReport();
 		// Requests a report and starts the task in the same millisecond.
 		this.scheduler.tick();
 		assertThat(this.commands.startedTasks).hasSize(1);
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -130,6 +130,113 @@
 		assertThat(this.world.violations).isEmpty();
 	}
 
+	@Test
+	void jobsThatThePredecessorHadNotRecordedStartAtOnceAlthoughATenthOfTheWorkersIsSilent() {
+		for (int i = 0; i < 20; i++) {
+			this.world.addWorker("w" + i);
+		}
+		this.world.takeOver();
+		this.world.submit("running", 0, VirtualWorld.step(40, 1000, 30_000));
+		this.world.clock.runFor(1000);
+		this.world.workers.get("w3").partitioned = true;
+		this.world.workers.get("w7").partitioned = true;
+		JobSubmission job = this.world.submit("not-recorded", 0, VirtualWorld.step(20, 1000, 400));
+		this.world.takeOver();
+		this.world.clock.runFor(1000);
+		assertThat(this.world.state(job)).isEqualTo(JobState.COMPLETED);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void firstTaskOfAJobStartsOnlyOnceTheJobIsRecorded() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		this.world.clock.runFor(500);
+		this.world.storeUp = false;
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 300));
+		this.world.clock.runFor(1000);
+		assertThat(this.world.state(job)).isEqualTo(JobState.QUEUED);
+		assertThat(this.world.workers.get("w1").running).isEmpty();
+		this.world.storeUp = true;
+		this.world.clock.runFor(50);
+		assertThat(this.world.workers.get("w1").running).hasSize(1);
+	}
+
+	@Test
+	void firstMembersOfAGangStartOnlyOnceTheJobIsRecorded() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		this.world.clock.runFor(500);
+		this.world.storeUp = false;
+		StepSpec.Traits gang = new StepSpec.Traits(false, true, false, false, false);
+		this.world.submit("job-1", 0, VirtualWorld.withTraits(VirtualWorld.step(3, 1000, 300), gang));
+		this.world.clock.runFor(1000);
+		assertThat(this.world.workers.get("w1").running).isEmpty();
+		this.world.storeUp = true;
+		this.world.clock.runFor(50);
+		assertThat(this.world.workers.get("w1").running).hasSize(3);
+	}
+
+	@Test
+	void schedulerThatOnlyHoldsKeepsRunningTasksAndStartsNoOthers() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(2, 1000, 9000));
+		this.world.clock.runFor(1000);
+		this.world.scheduler.holdOnly();
+		this.world.submit("job-2", 0, VirtualWorld.step(1, 1000, 300));
+		this.world.cancel(job.id());
+		this.world.clock.runFor(7500);
+		assertThat(this.world.workers.get("w1").running.keySet()).hasSize(2)
+			.allMatch((task) -> task.job().equals(job.id()));
+	}
+
+	@Test
+	void lessUrgentTasksDoNotTakeTheCapacityForAJobThatIsBeingRecorded() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		this.world.clock.runFor(100);
+		this.world.submit("behind", 1, VirtualWorld.step(16, 2000, 400));
+		this.world.clock.runFor(100);
+		JobSubmission urgent = this.world.submit("urgent", 0, VirtualWorld.step(4, 2000, 400));
+		this.world.clock.runFor(900);
+		assertThat(this.world.state(urgent)).isEqualTo(JobState.COMPLETED);
+	}
+
+	@Test
+	void laterStepsDoNotWaitForSilentWorkersIfAnEarlierStepIsStillInProgress() {
+		this.world.addWorker("w1");
+		this.world.addWorker("w2");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 3000),
+				VirtualWorld.step(4, 1000, 400, 0), VirtualWorld.step(1, 1000, 300, 1));
+		this.world.clock.runFor(1000);
+		String idle = this.world.workers.get("w1").running.isEmpty() ? "w1" : "w2";
+		this.world.workers.get(idle).partitioned = true;
+		this.world.takeOver();
+		this.world.clock.runFor(4000);
+		assertThat(this.world.state(job)).isEqualTo(JobState.COMPLETED);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void stepAfterAStoredEndWaitsForSilentWorkers() {
+		this.world.addWorker("w1");
+		this.world.takeOver();
+		JobSubmission job = this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 500),
+				VirtualWorld.step(1, 1000, 30_000, 0));
+		this.world.clock.runFor(1500);
+		this.world.workers.get("w1").partitioned = true;
+		VirtualWorker other = this.world.addWorker("w2");
+		this.world.takeOver();
+		this.world.clock.runFor(4000);
+		assertThat(other.running).isEmpty();
+		assertThat(this.world.state(job)).isNotEqualTo(JobState.COMPLETED);
+		this.world.clock.runFor(10_000);
+		assertThat(other.running).hasSize(1);
+		assertThat(this.world.violations).isEmpty();
+	}
+
 	@Test
 	void takeoverWaitsInFullForAWorkerUnlistedForAnotherReason() {
 		this.world.addWorker("w1");
