--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -78,6 +78,7 @@
 	void addWaiting(Task task) {
 		if (!this.waiting.contains(task)) {
 			task.hasRunBefore = task.lastRun > 0;
+			task.waitingSince = now();
 			this.waiting.add(task);
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -56,6 +56,9 @@
 	 */
 	long lateDueAt;
 
+	/** When the task last began to wait, in milliseconds. */
+	long waitingSince;
+
 	/** Whether the task had already run when it last began to wait. */
 	boolean hasRunBefore;
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -1,6 +1,7 @@
 package io.lentilstream.jobs.scheduling;
 
 import java.util.Collection;
+import java.util.List;
 
 import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.model.Resources;
@@ -60,6 +61,13 @@
 	 */
 	private static final double MIN_UNUSED_SHARE = 0.8;
 
+	/**
+	 * The time after which a best-effort task may run beside serving tasks with high tail
+	 * latencies if no task of its job runs, in milliseconds, as long as processor time is
+	 * unused.
+	 */
+	private static final long STARVING_MILLIS = 2000;
+
 	private final TailForecast forecast;
 
 	private final HeadroomReserve headroom;
@@ -117,7 +125,15 @@
 		}
 		boolean overTargetTooLong = worker.overTargetSince >= 0
 				&& now - worker.overTargetSince >= MAX_OVER_TARGET_MILLIS;
-		return !overTargetTooLong && tailsStayLow(task, worker, now);
+		return !overTargetTooLong && (starves(task, now) || tailsStayLow(task, worker, now));
+	}
+
+	// The throttle slows such a task down if it raises a tail latency over its target.
+	private static boolean starves(Task task, long now) {
+		return now - task.waitingSince >= STARVING_MILLIS
+				&& task.job.occurrences.getOrDefault(task.step.occurrence, List.of())
+					.stream()
+					.allMatch((step) -> step.tasks.stream().allMatch((member) -> member.runs.isEmpty()));
 	}
 
 	private boolean tailsStayLow(Task bestEffort, Worker worker, long now) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
@@ -111,15 +111,52 @@
 		assertThat(this.now - overTargetFrom).isLessThan(VirtualWorld.SETTINGS.maxOverTargetMillis());
 	}
 
+	@Test
+	void taskOfAJobWithoutRunsDoesNotWaitLongForLowTailsWhileProcessorTimeIsUnused() {
+		report(0.7 * TARGET);
+		Task task = task("disturbing", new StepSpec.Traits(true, false, false, false, true), -1);
+		this.state.addWaiting(task);
+		assertThat(choose(task)).isNull();
+		this.now += 1900;
+		assertThat(choose(task)).isNull();
+		this.now += 100;
+		assertThat(choose(task)).isSameAs(this.worker);
+	}
+
+	@Test
+	void waitingTaskOfAJobWithRunsIsPlacedOnlyWhereTailsStayLow() {
+		report(0.7 * TARGET);
+		Task task = task("disturbing", new StepSpec.Traits(true, false, false, false, true), -1);
+		this.state.addWaiting(task);
+		task.step.tasks.get(0).runs.add(new Run(task, 1, this.worker, this.now));
+		this.now += 5000;
+		assertThat(choose(task)).isNull();
+	}
+
+	@Test
+	void waitingTaskIsNotPlacedBesideAServingTaskThatHasBeenOverTargetTooLong() {
+		Task task = task("disturbing", new StepSpec.Traits(true, false, false, false, true), -1);
+		this.state.addWaiting(task);
+		report(1.2 * TARGET);
+		this.now += 2000;
+		report(1.2 * TARGET);
+		assertThat(choose(task)).isNull();
+	}
+
 	private void report(double tail) {
 		this.serving.measurement = tail;
 		this.throttle.apply(this.worker, this.now);
 	}
 
 	private Worker choose(String image) {
+		Task task = task(image, new StepSpec.Traits(true, false, false, false, true), -1);
+		task.waitingSince = this.now;
+		return choose(task);
+	}
+
+	private Worker choose(Task task) {
 		WorkerSelector workerSelector = new WorkerSelector(this.forecast, new HeadroomReserve(this.state));
-		return workerSelector.choose(task(image, new StepSpec.Traits(true, false, false, false, true), -1),
-				List.of(this.worker), "", this.now);
+		return workerSelector.choose(task, List.of(this.worker), "", this.now);
 	}
 
 	private void addBestEffortRun(String image) {
