Place starving tasks beside high tails only while most processor time is free

Change: it holds only while less than 0.55 of the processor time of the service's VMs is reserved. Tests: HarmlessBestEffortTests.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -48,6 +48,8 @@
 
 	private final HeadroomReserve headroom;
 
+	private final UtilizationTracker utilization;
+
 	private final InterferenceModel interference = new InterferenceModel();
 
 	private final TakeoverTracker takeover;
@@ -70,7 +72,8 @@
 		WorkerCircuitBreaker circuitBreaker = new WorkerCircuitBreaker(this.state);
 		this.headroom = new HeadroomReserve(this.state);
 		TailForecast forecast = new TailForecast(this.interference);
-		WorkerSelector workerSelector = new WorkerSelector(forecast, this.headroom);
+		this.utilization = new UtilizationTracker(this.state);
+		WorkerSelector workerSelector = new WorkerSelector(forecast, this.headroom, this.utilization);
 		this.runEndHandler = new RunEndHandler(this.state, this.runStopper, this.progression, circuitBreaker);
 		RunStarter runStarter = new RunStarter(this.state, this.runEndHandler, circuitBreaker);
 		this.reportHandler = new ReportHandler(this.state, runStarter, this.runEndHandler, this.runStopper,
@@ -310,6 +313,7 @@
 			}
 		}
 		this.headroom.updatePeak();
+		this.utilization.update(now);
 		this.placementPass.reorder(now);
 		this.evacuator.evacuate(now);
 		this.loadLogger.logIfDue(now);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -63,8 +63,8 @@
 
 	/**
 	 * The time after which a best-effort task may run beside serving tasks with high tail
-	 * latencies if no task of its job runs, in milliseconds, as long as processor time is
-	 * unused.
+	 * latencies if no task of its job runs, in milliseconds, while most of the processor
+	 * time is not reserved.
 	 */
 	private static final long STARVING_MILLIS = 2000;
 
@@ -72,7 +72,10 @@
 
 	private final HeadroomReserve headroom;
 
-	WorkerSelector(TailForecast forecast, HeadroomReserve headroom) {
+	private final UtilizationTracker utilization;
+
+	WorkerSelector(TailForecast forecast, HeadroomReserve headroom, UtilizationTracker utilization) {
+		this.utilization = utilization;
 		this.headroom = headroom;
 		this.forecast = forecast;
 	}
@@ -129,11 +132,12 @@
 	}
 
 	// The throttle slows such a task down if it raises a tail latency over its target.
-	private static boolean starves(Task task, long now) {
-		return now - task.waitingSince >= STARVING_MILLIS
-				&& task.job.occurrences.getOrDefault(task.step.occurrence, List.of())
-					.stream()
-					.allMatch((step) -> step.tasks.stream().allMatch((member) -> member.runs.isEmpty()));
+	private boolean starves(Task task, long now) {
+		if (now - task.waitingSince < STARVING_MILLIS || !this.utilization.mostlyFree(task.job.policy.service())) {
+			return false;
+		}
+		List<StepState> steps = task.job.occurrences.getOrDefault(task.step.occurrence, List.of());
+		return steps.stream().flatMap((step) -> step.tasks.stream()).allMatch((member) -> member.runs.isEmpty());
 	}
 
 	private boolean tailsStayLow(Task bestEffort, Worker worker, long now) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
@@ -123,6 +123,18 @@
 		assertThat(choose(task)).isSameAs(this.worker);
 	}
 
+	@Test
+	void taskOfAJobWithoutRunsWaitsForLowTailsWhileMostOfTheProcessorTimeIsReserved() {
+		report(0.7 * TARGET);
+		while (this.worker.reserved.milliCores() < 0.6 * this.worker.listing.capacity().milliCores()) {
+			run("serving-" + this.worker.servingRuns, new StepSpec.Traits(false, false, false, true, false), TARGET);
+		}
+		Task task = task("disturbing", new StepSpec.Traits(true, false, false, false, true), -1);
+		this.state.addWaiting(task);
+		this.now += 5000;
+		assertThat(choose(task)).isNull();
+	}
+
 	@Test
 	void waitingTaskOfAJobWithRunsIsPlacedOnlyWhereTailsStayLow() {
 		report(0.7 * TARGET);
@@ -155,7 +167,10 @@
 	}
 
 	private Worker choose(Task task) {
-		WorkerSelector workerSelector = new WorkerSelector(this.forecast, new HeadroomReserve(this.state));
+		this.state.workers.put(this.worker.id(), this.worker);
+		UtilizationTracker utilization = new UtilizationTracker(this.state);
+		utilization.update(this.now);
+		WorkerSelector workerSelector = new WorkerSelector(this.forecast, new HeadroomReserve(this.state), utilization);
 		return workerSelector.choose(task, List.of(this.worker), "", this.now);
 	}
 
