--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -66,7 +66,7 @@
 	 * latencies if no task of its job runs, in milliseconds, while most of the processor
 	 * time is not reserved.
 	 */
-	private static final long STARVING_MILLIS = 2000;
+	private static final long STARVING_MILLIS = 1000;
 
 	private final TailForecast forecast;
 
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
@@ -117,7 +117,7 @@
 		Task task = task("disturbing", new StepSpec.Traits(true, false, false, false, true), -1);
 		this.state.addWaiting(task);
 		assertThat(choose(task)).isNull();
-		this.now += 1900;
+		this.now += 900;
 		assertThat(choose(task)).isNull();
 		this.now += 100;
 		assertThat(choose(task)).isSameAs(this.worker);
