Keep later steps waiting if the run that is reported belongs to a done task

Cause: read while reviewing: a second run of a task that is done says nothing about the steps behind it, which may have been started. Change: such a run rules out no predecessor's starts; wording of comments. Result: TakeoverTests.runOfATaskThatIsDoneDoesNotRuleOutDependents fails without the guard.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -348,8 +348,8 @@
 	}
 
 	/**
-	 * Stops to start and stop tasks, since a successor is about to take over. Reports are
-	 * still requested, which extends the leases of running tasks until then.
+	 * Sends no more starts and stops, since a successor is about to take over. Reports
+	 * are still requested, which extends the leases of running tasks until then.
 	 */
 	public void holdOnly() {
 		this.state.holdOnly = true;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -45,7 +45,10 @@
 	/** Whether the first task of a job waits for a change to be stored. */
 	boolean firstStartWaiting;
 
-	/** Whether only leases are extended, since a successor may start at any time. */
+	/**
+	 * Whether only the leases of running tasks are extended, since a successor may be
+	 * elected at any time.
+	 */
 	boolean holdOnly;
 
 	/** Whether a VM has accepted commands from a newer scheduler. */
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
@@ -78,7 +78,7 @@
 	void ruleOutDependents(Run run, long sent) {
 		StepSpec.Traits traits = run.task.spec().traits();
 		boolean earlyEndPossible = traits.speculative() || traits.gang();
-		if (run.task.step.dependentsRuledOut || earlyEndPossible || run.worker.firstReportAt < 0
+		if (run.task.done || run.task.step.dependentsRuledOut || earlyEndPossible || run.worker.firstReportAt < 0
 				|| sent - run.worker.firstReportAt <= ReportPoller.IDLE_WAIT_MILLIS) {
 			return;
 		}
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -1,10 +1,14 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
+import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.model.JobId;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -219,6 +223,30 @@
 		assertThat(this.world.violations).isEmpty();
 	}
 
+	@Test
+	void runOfATaskThatIsDoneDoesNotRuleOutDependents() {
+		JobSubmission submission = new JobSubmission(new JobId("job-1"), "q0",
+				new QueuePolicy(VirtualWorker.SERVICE, 0, 3, 2, 500), "payload",
+				List.of(VirtualWorld.step(1, 1000, 500), VirtualWorld.step(1, 1000, 500, 0)),
+				JobSubmission.Schedule.ONCE, 0);
+		Job job = new Job(submission, 0);
+		List<StepState> steps = job.createOccurrence(0);
+		Task first = steps.get(0).tasks.get(0);
+		Task dependent = steps.get(1).tasks.get(0);
+		dependent.possiblyRunning = true;
+		Worker worker = new Worker(new VirtualWorker(this.world, "w1").listing(), 0);
+		worker.firstReportAt = 0;
+		TakeoverTracker tracker = new TakeoverTracker(null);
+		first.done = true;
+		tracker.ruleOutDependents(new Run(first, 1, worker, 0), 5000);
+		assertThat(dependent.possiblyRunning).isTrue();
+		first.done = false;
+		tracker.ruleOutDependents(new Run(first, 1, worker, 0), 900);
+		assertThat(dependent.possiblyRunning).isTrue();
+		tracker.ruleOutDependents(new Run(first, 1, worker, 0), 5000);
+		assertThat(dependent.possiblyRunning).isFalse();
+	}
+
 	@Test
 	void stepAfterAStoredEndWaitsForSilentWorkers() {
 		this.world.addWorker("w1");
