Log crashes of VMs, with the runs that they took along

Change: CrashDetector logs worker-crashed when a later incarnation reports under a VM's id or at its address, with the evidence, whether it was draining, and the youngest runs with their age at the last sign of life. A report of a new incarnation is recognised before it counts as a sign of life. No decision changes.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -54,6 +54,8 @@
 
 	private final TakeoverTracker takeover;
 
+	private final CrashDetector crashDetector;
+
 	/**
 	 * Creates a scheduler without jobs and VMs.
 	 * @param settings the limits set by the platform
@@ -75,9 +77,10 @@
 		this.utilization = new UtilizationTracker(this.state);
 		WorkerSelector workerSelector = new WorkerSelector(forecast, this.headroom, this.utilization);
 		this.runEndHandler = new RunEndHandler(this.state, this.runStopper, this.progression, circuitBreaker);
+		this.crashDetector = new CrashDetector(this.state);
 		RunStarter runStarter = new RunStarter(this.state, this.runEndHandler, circuitBreaker);
 		this.reportHandler = new ReportHandler(this.state, runStarter, this.runEndHandler, this.runStopper,
-				this.takeover, new BestEffortThrottle(this.state, forecast));
+				this.takeover, new BestEffortThrottle(this.state, forecast), this.crashDetector);
 		this.reportPoller = new ReportPoller(this.state, this.reportHandler, this.runEndHandler);
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
 				workerSelector);
@@ -233,6 +236,7 @@
 		if (listing.incarnationStartMillis() < worker.incarnationStartMillis()) {
 			return;
 		}
+		worker.drained |= listing.draining() && listing.incarnationStartMillis() == worker.incarnationStartMillis();
 		worker.listing = listing;
 		worker.unlistedSince = -1;
 		if (listing.incarnationStartMillis() > worker.incarnationStartMillis()) {
@@ -292,6 +296,7 @@
 			worker.runs.values().forEach((run) -> this.runStopper.sendIfDue(run, now));
 			if (removable(worker, now)) {
 				workers.remove();
+				this.crashDetector.workerRemoved(worker, now);
 				this.state.log.append("worker-gone", worker);
 			}
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -23,14 +23,17 @@
 
 	private final BestEffortThrottle throttle;
 
+	private final CrashDetector crashDetector;
+
 	ReportHandler(SchedulerState state, RunStarter runStarter, RunEndHandler runEndHandler, RunStopper runStopper,
-			TakeoverTracker takeover, BestEffortThrottle throttle) {
+			TakeoverTracker takeover, BestEffortThrottle throttle, CrashDetector crashDetector) {
 		this.state = state;
 		this.runStarter = runStarter;
 		this.runEndHandler = runEndHandler;
 		this.runStopper = runStopper;
 		this.takeover = takeover;
 		this.throttle = throttle;
+		this.crashDetector = crashDetector;
 	}
 
 	/**
@@ -41,15 +44,13 @@
 	 * @param now the current time in milliseconds
 	 */
 	void handle(Worker worker, TaskReport report, long sent, long now) {
-		if (report.incarnationStartMillis() != worker.incarnationStartMillis()) {
-			handleRestart(worker, report.incarnationStartMillis(), now);
-		}
 		worker.lease.recordClock(report.clockMillis(), sent, now);
 		if (!worker.hasReported) {
 			worker.hasReported = true;
 			worker.firstReportAt = now;
 			this.state.log.append("worker-opened", worker, "running", report.running().size(), "ended",
 					report.ended().size());
+			this.crashDetector.firstReportReceived(worker);
 		}
 		for (TaskReport.Ended end : report.ended()) {
 			if (end.number() > worker.lastEndNumber) {
@@ -71,6 +72,20 @@
 		}
 	}
 
+	/**
+	 * Handles the start of a new incarnation of a VM if a report comes from another
+	 * incarnation than the known one. Must be called before the report is handled.
+	 * @param worker the VM
+	 * @param startMillis when the reporting incarnation started, in milliseconds since
+	 * 1970
+	 * @param now the current time in milliseconds
+	 */
+	void handleRestartIfNew(Worker worker, long startMillis, long now) {
+		if (startMillis != worker.incarnationStartMillis()) {
+			handleRestart(worker, startMillis, now);
+		}
+	}
+
 	/**
 	 * Handles the start of a new incarnation of a VM. Confirmed runs are lost, but an
 	 * unanswered start command may still reach the new incarnation.
@@ -81,6 +96,7 @@
 	void handleRestart(Worker worker, long startMillis, long now) {
 		this.state.log.append("worker-restarted", worker, "born-ms", startMillis, "was-ms",
 				worker.incarnationStartMillis(), "runs", worker.runs.size());
+		this.crashDetector.restarted(worker);
 		worker.restart(startMillis, now);
 		for (Run run : List.copyOf(worker.runs.values())) {
 			if (run.phase == Run.Phase.RUNNING) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
@@ -73,8 +73,10 @@
 			if (worker.missedReports > 0) {
 				this.state.log.append("worker-regained", worker, "silent-ms", now - worker.lastReportAt);
 			}
+			this.reportHandler.handleRestartIfNew(worker, reported.report().incarnationStartMillis(), now);
 			worker.missedReports = 0;
 			worker.lastReportAt = now;
+			worker.lapsedRuns.clear();
 			worker.nextReportRequestAt = now;
 			this.reportHandler.handle(worker, reported.report(), sent, now);
 			worker.acknowledgeStored();
@@ -104,6 +106,7 @@
 		this.state.log.append("worker-lapsed", worker, "silent-ms", now - worker.lastReportAt, "runs",
 				worker.runs.size());
 		for (Run run : List.copyOf(worker.runs.values())) {
+			worker.lapsedRuns.add(run);
 			this.runEndHandler.handleLost(run, "lease expired", now);
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -1,12 +1,16 @@
 package io.lentilstream.jobs.scheduling;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.stream.Stream;
 
 import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.jobs.WorkerId;
+import io.lentilstream.jobs.WorkerIncarnation;
 import io.lentilstream.jobs.WorkerListing;
 import io.lentilstream.model.Resources;
 
@@ -83,6 +87,15 @@
 
 	int consecutiveFailures;
 
+	/** The runs that were given up since the VM fell silent, in case it has crashed. */
+	final List<Run> lapsedRuns = new ArrayList<>();
+
+	/** Whether the current incarnation was listed as draining. */
+	boolean drained;
+
+	/** Whether another VM has reported at the address. */
+	boolean replaced;
+
 	/**
 	 * Since when a serving task exceeds its latency target, in milliseconds; negative if
 	 * none does.
@@ -92,6 +105,7 @@
 	Worker(WorkerListing listing, long now) {
 		this.listing = listing;
 		this.incarnationStartMillis = listing.incarnationStartMillis();
+		this.drained = listing.draining();
 		this.lastReportAt = now;
 	}
 
@@ -118,6 +132,26 @@
 		this.missedReports = 0;
 		this.lastReportAt = now;
 		this.consecutiveFailures = 0;
+		this.lapsedRuns.clear();
+		this.drained = this.listing.incarnationStartMillis() == startMillis && this.listing.draining();
+	}
+
+	WorkerIncarnation currentIncarnation() {
+		return new WorkerIncarnation(id(), this.incarnationStartMillis);
+	}
+
+	/**
+	 * Returns the age of a run when the VM last gave a sign of life.
+	 * @param run a run on this VM
+	 * @return the age in milliseconds; 0 if the run started after that
+	 */
+	long ageAtLastSign(Run run) {
+		long lastSignAt = Stream.concat(this.runs.values().stream(), this.lapsedRuns.stream())
+			.filter((other) -> other.phase == Run.Phase.RUNNING)
+			.mapToLong((other) -> other.phaseSince)
+			.max()
+			.orElse(0);
+		return Math.max(0, Math.max(lastSignAt, this.lastReportAt) - run.startSentAt);
 	}
 
 	WorkerId id() {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -1,5 +1,6 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.net.InetSocketAddress;
 import java.util.List;
 
 import org.junit.jupiter.api.Test;
@@ -234,7 +235,8 @@
 		Task first = steps.get(0).tasks.get(0);
 		Task dependent = steps.get(1).tasks.get(0);
 		dependent.possiblyRunning = true;
-		Worker worker = new Worker(new VirtualWorker(this.world, "w1").listing(), 0);
+		Worker worker = new Worker(
+				new VirtualWorker(this.world, "w1", new InetSocketAddress("127.0.0.1", 1000)).listing(), 0);
 		worker.firstReportAt = 0;
 		TakeoverTracker tracker = new TakeoverTracker(null);
 		first.done = true;
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -37,6 +37,13 @@
 
 	boolean up = true;
 
+	/** Whether the platform lists the VM. */
+	boolean listed = true;
+
+	final InetSocketAddress address;
+
+	Resources capacity = new Resources(8000, 16_000, 0);
+
 	/** Whether a network partition drops commands and results. */
 	boolean partitioned;
 
@@ -64,17 +71,17 @@
 
 	private final List<TaskReport.Ended> ended = new ArrayList<>();
 
-	VirtualWorker(VirtualWorld world, String id) {
+	VirtualWorker(VirtualWorld world, String id, InetSocketAddress address) {
 		this.world = world;
 		this.id = id;
+		this.address = address;
 		this.startedAt = world.clock.now();
 		this.incarnationStartMillis = this.startedAt;
 	}
 
 	WorkerListing listing() {
-		return new WorkerListing(new WorkerId(this.id), this.incarnationStartMillis, SERVICE,
-				new InetSocketAddress("127.0.0.1", 1), "a", this.draining, "r1-1", new Resources(8000, 16_000, 0),
-				Set.of("k", "r1-1"));
+		return new WorkerListing(new WorkerId(this.id), this.incarnationStartMillis, SERVICE, this.address, "a",
+				this.draining, "r1-1", this.capacity, Set.of("k", "r1-1"));
 	}
 
 	long clockMillis() {
@@ -128,12 +135,22 @@
 		watchLease();
 		long duration = this.world.durationOf(command.task());
 		int startedIn = this.incarnation;
+		Long crashAfter = this.world.deadly.get(command.task());
+		if (crashAfter != null) {
+			this.world.clock.schedule(crashAfter, () -> crashUnder(startedIn, command.task()));
+		}
 		if (duration < Long.MAX_VALUE && !this.hanging) {
 			this.world.clock.schedule(duration, () -> finish(startedIn, command.task(), command.run()));
 		}
 		return new CommandResult.Done(clockMillis());
 	}
 
+	private void crashUnder(int startedIn, TaskName task) {
+		if (startedIn == this.incarnation && this.running.containsKey(task)) {
+			this.world.crashed(this, task);
+		}
+	}
+
 	private void finish(int startedIn, TaskName task, int run) {
 		if (startedIn == this.incarnation && Integer.valueOf(run).equals(this.running.get(task))) {
 			boolean fails = this.failing || this.world.alwaysFails.contains(task.job());
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -1,5 +1,6 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -62,6 +63,22 @@
 	/** Whether the store accepts changes. */
 	boolean storeUp = true;
 
+	/**
+	 * The tasks that crash their VM, and how long after their start, in milliseconds.
+	 */
+	final Map<TaskName, Long> deadly = new HashMap<>();
+
+	/** The number of VMs that have crashed under a task. */
+	final Map<TaskName, Integer> crashesUnder = new HashMap<>();
+
+	/** Whether a crashed VM keeps its id when it is back. */
+	boolean keepsIds;
+
+	/** How long a crashed VM is down, in milliseconds. */
+	long downMillis = 3300;
+
+	private final Map<TaskName, Integer> startsAfterThirdCrash = new HashMap<>();
+
 	private final Map<JobId, JobSubmission> submissions = new LinkedHashMap<>();
 
 	private final Map<JobId, byte[]> progress = new HashMap<>();
@@ -85,7 +102,11 @@
 	}
 
 	VirtualWorker addWorker(String id) {
-		VirtualWorker worker = new VirtualWorker(this, id);
+		return addWorker(id, new InetSocketAddress("127.0.0.1", 1 + this.workers.size()));
+	}
+
+	private VirtualWorker addWorker(String id, InetSocketAddress address) {
+		VirtualWorker worker = new VirtualWorker(this, id, address);
 		this.workers.put(id, worker);
 		if (this.scheduler != null) {
 			this.scheduler.workerListed(worker.listing());
@@ -93,6 +114,38 @@
 		return worker;
 	}
 
+	/**
+	 * Crashes a VM under a deadly task. It is back later.
+	 */
+	void crashed(VirtualWorker worker, TaskName task) {
+		this.crashesUnder.merge(task, 1, Integer::sum);
+		crashAndReturn(worker);
+	}
+
+	/**
+	 * Crashes a VM, which is back later: under its id, or under a new one at its address.
+	 */
+	void crashAndReturn(VirtualWorker worker) {
+		worker.crash();
+		this.clock.schedule(4100, () -> unlistIfDown(worker));
+		this.clock.schedule(this.downMillis, () -> {
+			if (this.keepsIds) {
+				worker.restart();
+				this.scheduler.workerListed(worker.listing());
+			}
+			else {
+				addWorker(worker.id + "+", worker.address);
+			}
+		});
+	}
+
+	private void unlistIfDown(VirtualWorker worker) {
+		if (!worker.up) {
+			worker.listed = false;
+			this.scheduler.workerUnlisted(worker.listing().id(), true);
+		}
+	}
+
 	/**
 	 * Replaces the current scheduler abruptly by a successor.
 	 */
@@ -108,7 +161,10 @@
 		}
 		this.cancelled.forEach(next::cancel);
 		next.start(this.workers.values().stream().map(VirtualWorker::listing).toList());
-		this.workers.values().forEach((worker) -> next.workerListed(worker.listing()));
+		this.workers.values()
+			.stream()
+			.filter((worker) -> worker.listed)
+			.forEach((worker) -> next.workerListed(worker.listing()));
 		tickPeriodically(schedulerTerm);
 		checkPeriodically(schedulerTerm);
 	}
@@ -197,6 +253,10 @@
 		TaskName task = command.task();
 		JobSubmission submission = this.submissions.get(task.job());
 		StepSpec step = submission.steps().get(task.step());
+		if (this.crashesUnder.getOrDefault(task, 0) >= 3
+				&& this.startsAfterThirdCrash.merge(task, 1, Integer::sum) >= 3) {
+			recordViolation("third start of " + task + " after three VMs had crashed under it");
+		}
 		Set<String> workerIds = this.runningOn.computeIfAbsent(task, (name) -> new HashSet<>());
 		if (!workerIds.isEmpty() && !step.traits().speculative()) {
 			recordViolation("two runs of " + task + " on " + workerIds + " and " + worker.id);
