--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
@@ -37,7 +37,7 @@
 	 */
 	void workerRemoved(Worker worker, long now) {
 		this.lost.values().removeIf((known) -> now - known.lastReportAt > REMEMBERED_MILLIS);
-		if (!worker.lapsedRuns.isEmpty()) {
+		if (!worker.replaced && !worker.lapsedRuns.isEmpty()) {
 			this.lost.put(worker.listing.address(), worker);
 		}
 	}
