Give up tasks that crash VM after VM, and keep the tasks beside them

Cause: a run that was lost with its VM did not count against its task, whatever the number, since the leader could not tell a crash from silence. Class: a retry without a bound, because the failure is not attributed to its cause. Change: CrashDetector recognises a crash by the later incarnation and gives up the runs at once; CrashAttribution counts crashes by task; SuspectStarter starts a suspected task apart from others, so that a second crash tells which task caused it. A task that crashed two VMs right after its start, the last on trial, or three, is given up with its job; the others are cleared.

--- a/jobs/src/main/java/io/lentilstream/jobs/JobProgress.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/JobProgress.java
@@ -27,9 +27,10 @@
 	 * @param lastRun the highest run number for which a start command was issued; 0 if
 	 * there is none
 	 * @param checkpoint the latest checkpoint; empty if there is none
+	 * @param suspicion the crashes that the task may have caused
 	 */
 	public record TaskProgress(int occurrence, int step, int index, boolean done, List<Integer> failedRuns, int lastRun,
-			String checkpoint) {
+			String checkpoint, StoredSuspicion suspicion) {
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
@@ -12,6 +12,7 @@
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobProgress.TaskProgress;
 import io.lentilstream.jobs.JobState;
+import io.lentilstream.jobs.StoredSuspicion;
 import io.lentilstream.model.JobId;
 
 /**
@@ -92,7 +93,8 @@
 			List<TaskProgress> tasks = new ArrayList<>();
 			for (int i = 0; i < count; i++) {
 				tasks.add(new TaskProgress(unpacker.unpackInt(), unpacker.unpackInt(), unpacker.unpackInt(),
-						unpacker.unpackBoolean(), unpackRuns(unpacker), unpacker.unpackInt(), unpacker.unpackString()));
+						unpacker.unpackBoolean(), unpackRuns(unpacker), unpacker.unpackInt(), unpacker.unpackString(),
+						StoredSuspicion.NONE));
 			}
 			return new JobProgress(job, JobState.values()[ordinal], endedAt, occurrences, tasks);
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
@@ -1,11 +1,11 @@
 package io.lentilstream.jobs.scheduling;
 
-import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.HashMap;
+import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 
+import io.lentilstream.jobs.StoredSuspicion.AgeRange;
+import io.lentilstream.jobs.StoredSuspicion.Loss;
 import io.lentilstream.jobs.WorkerIncarnation;
 
 /**
@@ -16,50 +16,72 @@
  */
 final class CrashDetector {
 
-	/** How long a VM that was lost is remembered, in milliseconds. */
-	private static final long REMEMBERED_MILLIS = 120_000;
-
 	private static final int MAX_LOGGED_RUNS = 4;
 
 	private final SchedulerState state;
 
-	/** The VMs that are no longer known, by the address at which they were lost. */
-	private final Map<InetSocketAddress, Worker> lost = new HashMap<>();
+	private final RunEndHandler runEndHandler;
+
+	private final CrashAttribution crashAttribution;
 
-	CrashDetector(SchedulerState state) {
+	CrashDetector(SchedulerState state, RunEndHandler runEndHandler, CrashAttribution crashAttribution) {
 		this.state = state;
+		this.runEndHandler = runEndHandler;
+		this.crashAttribution = crashAttribution;
 	}
 
 	/**
-	 * Remembers a VM that is about to be forgotten after it was lost.
-	 * @param worker the VM
-	 * @param now the current time in milliseconds
+	 * Handles the first report of an incarnation, which proves that no earlier one runs
+	 * at its address.
+	 * @param successor the VM that reported
 	 */
-	void workerRemoved(Worker worker, long now) {
-		this.lost.values().removeIf((known) -> now - known.lastReportAt > REMEMBERED_MILLIS);
-		if (!worker.replaced && !worker.lapsedRuns.isEmpty()) {
-			this.lost.put(worker.listing.address(), worker);
+	void firstReportReceived(Worker successor) {
+		regained(successor);
+		for (Worker worker : List.copyOf(this.state.workers.values())) {
+			if ((worker.missedReports > 0 || !worker.hasReported) && precedes(worker, successor)) {
+				replaced(worker, successor);
+			}
+		}
+		for (Loss loss : this.crashAttribution.lossesAt(successor.listing.address())) {
+			WorkerIncarnation lost = loss.incarnation();
+			if (lost.startMillis() < successor.incarnationStartMillis()) {
+				int runs = this.crashAttribution.handleCrash(lost, List.of(), this.state.now());
+				this.state.log.append("worker-crashed", lost.worker(), "born-ms", lost.startMillis(), "evidence",
+						"replaced by " + successor.id() + " after its leases had ended", "runs", runs);
+			}
 		}
 	}
 
 	/**
-	 * Handles the first report of an incarnation, which proves that no other incarnation
-	 * runs at its address.
-	 * @param successor the VM that reported
+	 * Handles the first missed report of a VM. Its runs are recorded at once, since a
+	 * successor would not know them.
+	 * @param worker the VM
 	 */
-	void firstReportReceived(Worker successor) {
-		InetSocketAddress address = successor.listing.address();
-		for (Worker worker : List.copyOf(this.state.workers.values())) {
-			if (worker != successor && !worker.replaced && worker.missedReports > 0
-					&& worker.listing.address().equals(address)) {
-				worker.replaced = true;
-				crashed(worker, worker.currentIncarnation(), "replaced by " + successor.id());
+	void fellSilent(Worker worker) {
+		if (attributable(worker)) {
+			this.crashAttribution.addLosses(worker, runsOf(worker));
+		}
+		for (Worker successor : this.state.workers.values()) {
+			if (successor.hasReported && successor.missedReports == 0 && precedes(worker, successor)) {
+				replaced(worker, successor);
+				return;
 			}
 		}
-		Worker forgotten = this.lost.remove(address);
-		if (forgotten != null && !forgotten.id().equals(successor.id())) {
-			crashed(forgotten, forgotten.currentIncarnation(), "replaced by " + successor.id());
+	}
+
+	private static boolean precedes(Worker worker, Worker successor) {
+		return !worker.replaced && worker.listing.address().equals(successor.listing.address())
+				&& worker.incarnationStartMillis() < successor.incarnationStartMillis();
+	}
+
+	private void replaced(Worker worker, Worker successor) {
+		worker.replaced = true;
+		List<SuspectRun> runs = runsOf(worker);
+		logCrash(worker, runs, "replaced by " + successor.id());
+		for (Run run : List.copyOf(worker.runs.values())) {
+			this.runEndHandler.handleLost(run, "VM crashed", this.state.now());
 		}
+		attribute(worker, runs);
 	}
 
 	/**
@@ -68,20 +90,60 @@
 	 * @param worker the VM
 	 */
 	void restarted(Worker worker) {
-		crashed(worker, worker.currentIncarnation(), "restarted");
+		List<SuspectRun> runs = runsOf(worker);
+		logCrash(worker, runs, "restarted");
+		attribute(worker, runs);
 	}
 
-	private void crashed(Worker worker, WorkerIncarnation incarnation, String evidence) {
-		List<Run> runs = new ArrayList<>(worker.lapsedRuns);
-		runs.addAll(worker.runs.values());
-		runs.sort((a, b) -> Long.compare(b.startSentAt, a.startSentAt));
+	/**
+	 * Handles a report of a VM that was only silent.
+	 * @param worker the VM
+	 */
+	void regained(Worker worker) {
+		this.crashAttribution.removeLosses(worker.currentIncarnation());
+	}
+
+	private void attribute(Worker worker, List<SuspectRun> runs) {
+		if (attributable(worker)) {
+			this.crashAttribution.handleCrash(worker.currentIncarnation(), runs, this.state.now());
+		}
+		else {
+			this.crashAttribution.removeLosses(worker.currentIncarnation());
+		}
+	}
+
+	// A VM that this scheduler never saw in the list may have been draining.
+	private static boolean attributable(Worker worker) {
+		return !worker.drained && worker.everListed;
+	}
+
+	private List<SuspectRun> runsOf(Worker worker) {
+		long now = this.state.now();
+		List<SuspectRun> runs = new ArrayList<>();
+		worker.runs.values()
+			.forEach((run) -> runs.add(new SuspectRun(run.task, worker.ageAtCrash(run, now), run.onTrial)));
+		return runs;
+	}
+
+	private void logCrash(Worker worker, List<SuspectRun> runs, String evidence) {
 		List<String> youngest = runs.stream()
+			.sorted(Comparator.comparingLong((SuspectRun run) -> run.age().minMillis()))
 			.limit(MAX_LOGGED_RUNS)
-			.map((run) -> run.task.name + " run " + run.number + " age " + worker.ageAtLastSign(run))
+			.map((run) -> run.task().name + " age " + run.age().minMillis() + " to " + run.age().maxMillis())
 			.toList();
-		this.state.log.append("worker-crashed", worker, "born-ms", incarnation.startMillis(), "evidence", evidence,
-				"draining", worker.drained, "runs", runs.size(), "silent-ms", this.state.now() - worker.lastReportAt,
-				"youngest", youngest);
+		this.state.log.append("worker-crashed", worker, "born-ms", worker.incarnationStartMillis(), "evidence",
+				evidence, "draining", worker.drained, "runs", runs.size(), "silent-ms",
+				this.state.now() - worker.lastReportAt, "youngest", youngest);
+	}
+
+	/**
+	 * A run that may have crashed its VM.
+	 *
+	 * @param task the task
+	 * @param age its age at the crash
+	 * @param onTrial whether it was started apart from other starts
+	 */
+	record SuspectRun(Task task, AgeRange age, boolean onTrial) {
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -9,6 +9,7 @@
 import io.lentilstream.jobs.JobSubmission;
 import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.jobs.StoredSuspicion;
 import io.lentilstream.model.JobId;
 
 /**
@@ -149,9 +150,11 @@
 	private static void collectProgress(StepState step, List<JobProgress.TaskProgress> taskProgress) {
 		for (Task task : step.tasks) {
 			boolean started = step.spec.traits().longRunning() && task.lastRun > 0;
-			if (task.done || started || !task.failedRuns.isEmpty() || !task.checkpoint.isEmpty()) {
-				taskProgress.add(new JobProgress.TaskProgress(task.name.occurrence(), task.name.step(),
-						task.name.index(), task.done, List.copyOf(task.failedRuns), task.lastRun, task.checkpoint));
+			StoredSuspicion suspicion = task.storedSuspicion();
+			if (task.done || started || !task.failedRuns.isEmpty() || !task.checkpoint.isEmpty() || !suspicion.none()) {
+				taskProgress
+					.add(new JobProgress.TaskProgress(task.name.occurrence(), task.name.step(), task.name.index(),
+							task.done, List.copyOf(task.failedRuns), task.lastRun, task.checkpoint, suspicion));
 			}
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -77,16 +77,19 @@
 		this.utilization = new UtilizationTracker(this.state);
 		WorkerSelector workerSelector = new WorkerSelector(forecast, this.headroom, this.utilization);
 		this.runEndHandler = new RunEndHandler(this.state, this.runStopper, this.progression, circuitBreaker);
-		this.crashDetector = new CrashDetector(this.state);
 		RunStarter runStarter = new RunStarter(this.state, this.runEndHandler, circuitBreaker);
+		CrashAttribution crashAttribution = new CrashAttribution(this.state, this.progression);
+		this.crashDetector = new CrashDetector(this.state, this.runEndHandler, crashAttribution);
+		SuspectStarter suspectStarter = new SuspectStarter(this.state, workerSelector, runStarter);
 		this.reportHandler = new ReportHandler(this.state, runStarter, this.runEndHandler, this.runStopper,
-				this.takeover, new BestEffortThrottle(this.state, forecast), this.crashDetector);
-		this.reportPoller = new ReportPoller(this.state, this.reportHandler, this.runEndHandler);
+				this.takeover, new BestEffortThrottle(this.state, forecast), this.crashDetector, crashAttribution,
+				suspectStarter);
+		this.reportPoller = new ReportPoller(this.state, this.reportHandler, this.runEndHandler, this.crashDetector);
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
 				workerSelector);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
 		this.loadLogger = new LoadLogger(this.state);
-		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter);
+		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter);
 	}
 
 	/**
@@ -131,6 +134,10 @@
 			task.failedRuns.addAll(taskProgress.failedRuns());
 			task.lastRun = taskProgress.lastRun();
 			task.checkpoint = taskProgress.checkpoint();
+			task.suspicion.restore(taskProgress.suspicion());
+			if (!taskProgress.suspicion().none()) {
+				this.state.suspects.add(task);
+			}
 		}
 		job.nextOccurrence = 0;
 	}
@@ -176,6 +183,7 @@
 			if (!this.state.workers.containsKey(listing.id())) {
 				Worker worker = new Worker(listing, now);
 				worker.unlistedSince = now;
+				worker.everListed = false;
 				this.state.workers.put(listing.id(), worker);
 			}
 		}
@@ -214,6 +222,7 @@
 	 * @param id the id
 	 */
 	public void remove(JobId id) {
+		this.state.suspects.removeIf((task) -> task.job.id().equals(id));
 		this.state.jobs.remove(id);
 	}
 
@@ -238,6 +247,7 @@
 		}
 		worker.drained |= listing.draining() && listing.incarnationStartMillis() == worker.incarnationStartMillis();
 		worker.listing = listing;
+		worker.everListed = true;
 		worker.unlistedSince = -1;
 		if (listing.incarnationStartMillis() > worker.incarnationStartMillis()) {
 			this.reportHandler.handleRestart(worker, listing.incarnationStartMillis(), now);
@@ -296,7 +306,6 @@
 			worker.runs.values().forEach((run) -> this.runStopper.sendIfDue(run, now));
 			if (removable(worker, now)) {
 				workers.remove();
-				this.crashDetector.workerRemoved(worker, now);
 				this.state.log.append("worker-gone", worker);
 			}
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -29,6 +29,8 @@
 
 	private final RunStarter runStarter;
 
+	private final SuspectStarter suspectStarter;
+
 	/**
 	 * The capacity kept during a pass for tasks whose job is being recorded, so that
 	 * tasks behind them do not take it.
@@ -40,8 +42,10 @@
 	/** When the next pass may begin, in milliseconds. */
 	private long nextPassAt = Long.MIN_VALUE;
 
-	PlacementPass(SchedulerState state, WorkerSelector workerSelector, RunStarter runStarter) {
+	PlacementPass(SchedulerState state, WorkerSelector workerSelector, RunStarter runStarter,
+			SuspectStarter suspectStarter) {
 		this.state = state;
+		this.suspectStarter = suspectStarter;
 		this.workerSelector = workerSelector;
 		this.runStarter = runStarter;
 	}
@@ -56,6 +60,7 @@
 		if (now < this.nextPassAt) {
 			return;
 		}
+		this.suspectStarter.discardEnded(now);
 		place(now);
 		this.reserved.forEach((run) -> run.worker.remove(run));
 		this.reserved.clear();
@@ -72,6 +77,10 @@
 					|| this.state.firstStartDebouncer.defers(task, now)) {
 				continue;
 			}
+			if (SuspectStarter.handles(task)) {
+				this.suspectStarter.advance(task, now);
+				continue;
+			}
 			Requirements requirements = Requirements.of(task);
 			Resources smallestRefused = refusedSizes.get(requirements);
 			if (smallestRefused != null && smallestRefused.fitsWithin(task.spec().size())) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -25,8 +25,13 @@
 
 	private final CrashDetector crashDetector;
 
+	private final CrashAttribution crashAttribution;
+
+	private final SuspectStarter suspectStarter;
+
 	ReportHandler(SchedulerState state, RunStarter runStarter, RunEndHandler runEndHandler, RunStopper runStopper,
-			TakeoverTracker takeover, BestEffortThrottle throttle, CrashDetector crashDetector) {
+			TakeoverTracker takeover, BestEffortThrottle throttle, CrashDetector crashDetector,
+			CrashAttribution crashAttribution, SuspectStarter suspectStarter) {
 		this.state = state;
 		this.runStarter = runStarter;
 		this.runEndHandler = runEndHandler;
@@ -34,6 +39,8 @@
 		this.takeover = takeover;
 		this.throttle = throttle;
 		this.crashDetector = crashDetector;
+		this.crashAttribution = crashAttribution;
+		this.suspectStarter = suspectStarter;
 	}
 
 	/**
@@ -134,6 +141,8 @@
 		if (run.phase != Run.Phase.RUNNING) {
 			this.runStarter.markRunning(run, now);
 		}
+		this.suspectStarter.passTrialIfOld(run, sent);
+		this.crashAttribution.clearIfOld(run, sent);
 		if (reported.percent() != run.percent) {
 			run.progressedAt = now;
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
@@ -19,9 +19,10 @@
 	static final long IDLE_WAIT_MILLIS = 1000;
 
 	/**
-	 * The interval between report requests while ends are not stored, in milliseconds.
+	 * The interval between report requests while ends are not stored or a task is on
+	 * trial, in milliseconds.
 	 */
-	private static final long UNSTORED_POLL_MILLIS = 100;
+	private static final long POLL_MILLIS = 100;
 
 	/** The delay before a request to an unresponsive VM is retried, in milliseconds. */
 	private static final long RETRY_MILLIS = 150;
@@ -40,10 +41,14 @@
 
 	private final RunEndHandler runEndHandler;
 
-	ReportPoller(SchedulerState state, ReportHandler reportHandler, RunEndHandler runEndHandler) {
+	private final CrashDetector crashDetector;
+
+	ReportPoller(SchedulerState state, ReportHandler reportHandler, RunEndHandler runEndHandler,
+			CrashDetector crashDetector) {
 		this.state = state;
 		this.reportHandler = reportHandler;
 		this.runEndHandler = runEndHandler;
+		this.crashDetector = crashDetector;
 	}
 
 	void requestReportIfDue(Worker worker, long now) {
@@ -51,7 +56,8 @@
 			return;
 		}
 		worker.acknowledgeStored();
-		boolean wait = worker.hasReported && worker.unstoredEnds.isEmpty() && worker.missedReports == 0;
+		boolean wait = worker.hasReported && worker.unstoredEnds.isEmpty() && worker.missedReports == 0
+				&& worker.keptFor == null;
 		long waitMillis = worker.runs.isEmpty() ? IDLE_WAIT_MILLIS : WAIT_MILLIS;
 		boolean extend = worker.lease.clockKnown() && now - worker.lastReportAt < MAX_EXTENDABLE_SILENCE_MILLIS;
 		long deadline = extend ? this.state.extendLease(worker, now) : 0;
@@ -74,14 +80,16 @@
 				this.state.log.append("worker-regained", worker, "silent-ms", now - worker.lastReportAt);
 			}
 			this.reportHandler.handleRestartIfNew(worker, reported.report().incarnationStartMillis(), now);
+			if (worker.missedReports > 0) {
+				this.crashDetector.regained(worker);
+			}
 			worker.missedReports = 0;
 			worker.lastReportAt = now;
-			worker.lapsedRuns.clear();
 			worker.nextReportRequestAt = now;
 			this.reportHandler.handle(worker, reported.report(), sent, now);
 			worker.acknowledgeStored();
-			if (!worker.unstoredEnds.isEmpty()) {
-				worker.nextReportRequestAt = now + UNSTORED_POLL_MILLIS;
+			if (!worker.unstoredEnds.isEmpty() || worker.keptFor != null) {
+				worker.nextReportRequestAt = now + POLL_MILLIS;
 			}
 		}
 		else if (result instanceof ReportResult.Missing missing) {
@@ -91,7 +99,12 @@
 
 	private void handleMissing(Worker worker, CommandResult reason, long now) {
 		if (worker.missedReports++ == 0) {
+			worker.silentSince = now;
+			if (worker.runs.values().stream().noneMatch((run) -> run.onTrial)) {
+				worker.silentWithoutTrialSince = now;
+			}
 			this.state.log.append("worker-silent", worker, "answer", reason, "runs", worker.runs.size());
+			this.crashDetector.fellSilent(worker);
 		}
 		worker.nextReportRequestAt = now + RETRY_MILLIS;
 		if (reason instanceof CommandResult.Refused refused && refused.reason() == CommandResult.Refusal.FENCED) {
@@ -106,7 +119,6 @@
 		this.state.log.append("worker-lapsed", worker, "silent-ms", now - worker.lastReportAt, "runs",
 				worker.runs.size());
 		for (Run run : List.copyOf(worker.runs.values())) {
-			worker.lapsedRuns.add(run);
 			this.runEndHandler.handleLost(run, "lease expired", now);
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -20,6 +20,9 @@
 	/** When the run entered its phase, in milliseconds. */
 	long phaseSince;
 
+	/** Whether the run started on trial and has not passed. */
+	boolean onTrial;
+
 	/** Whether the run is to be stopped, for example because its job has ended. */
 	boolean stopRequested;
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
@@ -36,6 +36,7 @@
 		this.state.waiting.remove(task);
 		Run run = new Run(task, number, worker, now);
 		task.lastRun = number;
+		task.suspicion.forgetPredecessorsPlan();
 		task.runs.add(run);
 		worker.add(run);
 		worker.startsSinceAvoided++;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -3,6 +3,7 @@
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.LongSupplier;
 
@@ -39,6 +40,9 @@
 	/** The jobs with changes that have not been handed out to be stored. */
 	final LinkedHashSet<Job> changedJobs = new LinkedHashSet<>();
 
+	/** The tasks that may have crashed a VM. */
+	final Set<Task> suspects = new LinkedHashSet<>();
+
 	/** Whether there is a change to be stored for which a caller may be waiting. */
 	boolean urgentChange;
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StragglerDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StragglerDetector.java
@@ -66,7 +66,7 @@
 				&& now - Math.max(run.progressedAt, run.phaseSince) > STALLED_MILLIS;
 		if (spec.traits().speculative() && run.task.runs.size() == 1) {
 			boolean slow = now - run.phaseSince > Math.max(MIN_COPY_AFTER_MILLIS, COPY_FACTOR * spec.estimateMillis());
-			if (stalled || slow) {
+			if ((stalled || slow) && run.task.suspicion.none()) {
 				startCopy(run, now);
 			}
 			return;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -6,6 +6,7 @@
 import java.util.TreeSet;
 
 import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.jobs.StoredSuspicion;
 import io.lentilstream.jobs.TaskName;
 import io.lentilstream.jobs.WorkerId;
 
@@ -64,6 +65,11 @@
 
 	final List<Run> runs = new ArrayList<>(1);
 
+	final Suspicion suspicion = new Suspicion();
+
+	/** The planned start of a suspected task; {@code null} if there is none. */
+	SuspectStarter.PlannedStart plannedStart;
+
 	Task(Job job, StepState step, int index) {
 		this.job = job;
 		this.step = step;
@@ -94,6 +100,14 @@
 		return spec().traits().longRunning() && !this.hasRunBefore;
 	}
 
+	StoredSuspicion storedSuspicion() {
+		return this.done ? StoredSuspicion.NONE : this.suspicion.toStore(this.plannedStart);
+	}
+
+	boolean unfinished() {
+		return !this.done && this.job.active();
+	}
+
 	boolean startable() {
 		return !this.done && !this.possiblyRunning && this.runs.isEmpty();
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -1,14 +1,12 @@
 package io.lentilstream.jobs.scheduling;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Objects;
-import java.util.stream.Stream;
 
 import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.jobs.StoredSuspicion.AgeRange;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerIncarnation;
 import io.lentilstream.jobs.WorkerListing;
@@ -82,17 +80,32 @@
 
 	int missedReports;
 
+	/** When the VM last fell silent, in milliseconds; kept when it reports again. */
+	long silentSince = Long.MIN_VALUE / 2;
+
+	/**
+	 * When the VM last fell silent without a run on trial, in milliseconds; kept when it
+	 * reports again.
+	 */
+	long silentWithoutTrialSince = Long.MIN_VALUE / 2;
+
 	/** The time until which no new tasks are placed on the VM, in milliseconds. */
 	long avoidUntil;
 
 	int consecutiveFailures;
 
-	/** The runs that were given up since the VM fell silent, in case it has crashed. */
-	final List<Run> lapsedRuns = new ArrayList<>();
+	/** Whether this scheduler has seen the VM in the list. */
+	boolean everListed = true;
 
 	/** Whether the current incarnation was listed as draining. */
 	boolean drained;
 
+	/**
+	 * The task for whose planned start or trial other tasks are kept away; {@code null}
+	 * if there is none.
+	 */
+	Task keptFor;
+
 	/** Whether another VM has reported at the address. */
 	boolean replaced;
 
@@ -132,7 +145,6 @@
 		this.missedReports = 0;
 		this.lastReportAt = now;
 		this.consecutiveFailures = 0;
-		this.lapsedRuns.clear();
 		this.drained = this.listing.incarnationStartMillis() == startMillis && this.listing.draining();
 	}
 
@@ -141,17 +153,20 @@
 	}
 
 	/**
-	 * Returns the age of a run when the VM last gave a sign of life.
+	 * Returns the range in which the age of a run lies if the VM has crashed.
 	 * @param run a run on this VM
-	 * @return the age in milliseconds; 0 if the run started after that
+	 * @param now the current time in milliseconds
+	 * @return the range
 	 */
-	long ageAtLastSign(Run run) {
-		long lastSignAt = Stream.concat(this.runs.values().stream(), this.lapsedRuns.stream())
+	AgeRange ageAtCrash(Run run, long now) {
+		long lastSignAt = this.runs.values()
+			.stream()
 			.filter((other) -> other.phase == Run.Phase.RUNNING)
 			.mapToLong((other) -> other.phaseSince)
 			.max()
 			.orElse(0);
-		return Math.max(0, Math.max(lastSignAt, this.lastReportAt) - run.startSentAt);
+		long missedAt = (this.missedReports > 0) ? this.silentSince : now;
+		return new AgeRange(Math.max(lastSignAt, this.lastReportAt) - run.startSentAt, missedAt - run.startSentAt);
 	}
 
 	WorkerId id() {
@@ -208,6 +223,21 @@
 		return count;
 	}
 
+	/**
+	 * Tells whether a report has confirmed all runs some time after they started.
+	 * @param millis the time in milliseconds
+	 * @return {@code false} if a younger run could still crash the VM by its start
+	 */
+	boolean settled(long millis) {
+		return this.missedReports == 0 && this.runs.values()
+			.stream()
+			.allMatch((run) -> run.phase == Run.Phase.RUNNING && this.lastReportAt - run.phaseSince >= millis);
+	}
+
+	boolean hasUnsureRuns() {
+		return this.runs.values().stream().anyMatch((run) -> run.phase == Run.Phase.UNSURE);
+	}
+
 	boolean acceptsTasks(long now) {
 		return this.hasReported && this.unlistedSince < 0 && !this.listing.draining() && this.missedReports == 0
 				&& now >= this.avoidUntil
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -101,6 +101,9 @@
 	boolean eligible(Task task, Worker worker, String rack, long now) {
 		StepSpec spec = task.spec();
 		StepSpec.Placement placement = spec.placement();
+		if (worker.keptFor != null && worker.keptFor != task) {
+			return false;
+		}
 		if (!worker.acceptsTasks(now) || !worker.listing.service().equals(task.job.policy.service())) {
 			return false;
 		}
