Store the suspicion against tasks, so that blame survives a change of leader

Cause: crashes, possible losses and planned starts of suspected tasks were known to the leader only.

--- a/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
@@ -58,6 +58,7 @@
 				packer.packInt(task.lastRun());
 				packer.packString(task.checkpoint());
 			}
+			packSuspicions(packer, progress.tasks());
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -96,13 +97,42 @@
 						unpacker.unpackBoolean(), unpackRuns(unpacker), unpacker.unpackInt(), unpacker.unpackString(),
 						StoredSuspicion.NONE));
 			}
+			if (unpacker.hasNext()) {
+				unpackSuspicions(unpacker, tasks);
+			}
 			return new JobProgress(job, JobState.values()[ordinal], endedAt, occurrences, tasks);
 		}
-		catch (IOException | MessagePackException ex) {
+		catch (IOException | MessagePackException | IllegalArgumentException ex) {
 			throw new DecodeException("job progress cannot be decoded", ex);
 		}
 	}
 
+	// Follows the other fields, so that versions without it pass over it.
+	private static void packSuspicions(MessageBufferPacker packer, List<TaskProgress> tasks) throws IOException {
+		List<TaskProgress> suspects = tasks.stream().filter((task) -> !task.suspicion().none()).toList();
+		if (suspects.isEmpty()) {
+			return;
+		}
+		packer.packArrayHeader(suspects.size());
+		for (TaskProgress task : suspects) {
+			packer.packInt(tasks.indexOf(task));
+			SuspicionCodec.pack(packer, task.suspicion());
+		}
+	}
+
+	private static void unpackSuspicions(MessageUnpacker unpacker, List<TaskProgress> tasks)
+			throws IOException, DecodeException {
+		for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
+			int position = unpacker.unpackInt();
+			if (position < 0 || position >= tasks.size()) {
+				throw new DecodeException("unknown task in job progress: " + position, null);
+			}
+			TaskProgress task = tasks.get(position);
+			tasks.set(position, new TaskProgress(task.occurrence(), task.step(), task.index(), task.done(),
+					task.failedRuns(), task.lastRun(), task.checkpoint(), SuspicionCodec.unpack(unpacker)));
+		}
+	}
+
 	private static List<Integer> unpackRuns(MessageUnpacker unpacker) throws IOException {
 		int count = unpacker.unpackArrayHeader();
 		List<Integer> runs = new ArrayList<>();
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -245,13 +245,13 @@
 		if (listing.incarnationStartMillis() < worker.incarnationStartMillis()) {
 			return;
 		}
-		worker.drained |= listing.draining() && listing.incarnationStartMillis() == worker.incarnationStartMillis();
-		worker.listing = listing;
-		worker.everListed = true;
-		worker.unlistedSince = -1;
 		if (listing.incarnationStartMillis() > worker.incarnationStartMillis()) {
 			this.reportHandler.handleRestart(worker, listing.incarnationStartMillis(), now);
 		}
+		worker.listing = listing;
+		worker.everListed = true;
+		worker.drained |= listing.draining();
+		worker.unlistedSince = -1;
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -94,7 +94,7 @@
 
 	int consecutiveFailures;
 
-	/** Whether this scheduler has seen the VM in the list. */
+	/** Whether this scheduler has seen the current incarnation in the list. */
 	boolean everListed = true;
 
 	/** Whether the current incarnation was listed as draining. */
@@ -145,7 +145,8 @@
 		this.missedReports = 0;
 		this.lastReportAt = now;
 		this.consecutiveFailures = 0;
-		this.drained = this.listing.incarnationStartMillis() == startMillis && this.listing.draining();
+		this.drained = false;
+		this.everListed = false;
 	}
 
 	WorkerIncarnation currentIncarnation() {
