Place no tasks on a restarted VM before its new capacity is listed

What callers would see: a VM that doesn't check its capacity is started over it (LIMIT), or a task lands on a kind of VM that it must not run on. Cause: a report tells of a new incarnation before the list does; until then the listing of the earlier one, with its capacity and labels, was used. Class: data of one incarnation used for another. Change: a VM accepts tasks only once its current incarnation is listed. Evidence: ShrinkingCapacityTests.aVmThatRestartedSmaller... failed before with 5 tasks on a VM with room for 2, and passes.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
@@ -114,7 +114,7 @@
 
 	// A VM that this scheduler never saw in the list may have been draining.
 	private static boolean attributable(Worker worker) {
-		return !worker.drained && worker.everListed;
+		return !worker.drained && worker.incarnationListed;
 	}
 
 	private List<SuspectRun> runsOf(Worker worker) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -183,7 +183,7 @@
 			if (!this.state.workers.containsKey(listing.id())) {
 				Worker worker = new Worker(listing, now);
 				worker.unlistedSince = now;
-				worker.everListed = false;
+				worker.incarnationListed = false;
 				this.state.workers.put(listing.id(), worker);
 			}
 		}
@@ -249,7 +249,7 @@
 			this.reportHandler.handleRestart(worker, listing.incarnationStartMillis(), now);
 		}
 		worker.listing = listing;
-		worker.everListed = true;
+		worker.incarnationListed = true;
 		worker.drained |= listing.draining();
 		worker.unlistedSince = -1;
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -95,7 +95,7 @@
 	int consecutiveFailures;
 
 	/** Whether this scheduler has seen the current incarnation in the list. */
-	boolean everListed = true;
+	boolean incarnationListed = true;
 
 	/** Whether the current incarnation was listed as draining. */
 	boolean drained;
@@ -146,7 +146,7 @@
 		this.lastReportAt = now;
 		this.consecutiveFailures = 0;
 		this.drained = false;
-		this.everListed = false;
+		this.incarnationListed = false;
 	}
 
 	WorkerIncarnation currentIncarnation() {
@@ -240,8 +240,9 @@
 	}
 
 	boolean acceptsTasks(long now) {
-		return this.hasReported && this.unlistedSince < 0 && !this.listing.draining() && this.missedReports == 0
-				&& now >= this.avoidUntil
+		// The listed capacity and labels are those of the listed incarnation.
+		return this.hasReported && this.incarnationListed && this.unlistedSince < 0 && !this.listing.draining()
+				&& this.missedReports == 0 && now >= this.avoidUntil
 				&& (this.consecutiveFailures < WorkerCircuitBreaker.FAILURE_THRESHOLD || this.startsSinceAvoided == 0);
 	}
 
