Place no tasks on a VM that still runs tasks of unknown jobs

What callers would see: a VM that doesn't check its capacity is started over it (LIMIT) after a takeover. Cause: runs of a job that the leader cannot read are stopped, but hold no capacity until then, as their size is unknown. Class: what is being stopped is not counted. Change: a VM whose last report lists such runs accepts no tasks. Evidence: ShrinkingCapacityTests.runsOfUnreadableJobsCountUntilTheyAreStopped failed before (10 cores started on a VM of 8) and passes.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -65,6 +65,7 @@
 			}
 		}
 		Set<Run.RunKey> reportedRuns = new HashSet<>();
+		worker.hasUnknownRuns = false;
 		for (TaskReport.Running reported : report.running()) {
 			reportedRuns.add(new Run.RunKey(reported.task(), reported.run()));
 			handleRunning(worker, reported, sent, now);
@@ -154,6 +155,7 @@
 	private Run adoptOrStop(Worker worker, TaskReport.Running reported, long now) {
 		Task task = this.state.findTask(reported.task());
 		if (task == null) {
+			worker.hasUnknownRuns = true;
 			this.state.log.append("run-unknown", reported.task(), "worker", worker, "run", reported.run());
 			this.state.commands.stop(worker.listing, reported.task(), reported.run(), (result) -> {
 			});
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -69,6 +69,11 @@
 
 	final ArrayDeque<UnstoredEnd> unstoredEnds = new ArrayDeque<>();
 
+	/**
+	 * Whether the last report includes runs of unknown jobs, whose size is unknown too.
+	 */
+	boolean hasUnknownRuns;
+
 	boolean reportRequestInFlight;
 
 	long nextReportRequestAt;
@@ -142,6 +147,7 @@
 		this.unstoredEnds.clear();
 		this.reportRequestInFlight = false;
 		this.nextReportRequestAt = now;
+		this.hasUnknownRuns = false;
 		this.missedReports = 0;
 		this.lastReportAt = now;
 		this.consecutiveFailures = 0;
@@ -242,7 +248,7 @@
 	boolean acceptsTasks(long now) {
 		// The listed capacity and labels are those of the listed incarnation.
 		return this.hasReported && this.incarnationListed && this.unlistedSince < 0 && !this.listing.draining()
-				&& this.missedReports == 0 && now >= this.avoidUntil
+				&& this.missedReports == 0 && !this.hasUnknownRuns && now >= this.avoidUntil
 				&& (this.consecutiveFailures < WorkerCircuitBreaker.FAILURE_THRESHOLD || this.startsSinceAvoided == 0);
 	}
 
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/ShrinkingCapacityTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/ShrinkingCapacityTests.java
@@ -71,6 +71,19 @@
 		assertThat(this.world.violations).isEmpty();
 	}
 
+	@Test
+	void runsOfUnreadableJobsCountUntilTheyAreStopped() {
+		this.worker.stopMillis = 1500;
+		this.world.takeOver();
+		this.world.unreadable.add(this.world.submit("job-1", 0, VirtualWorld.step(6, 1000, 60_000)).id());
+		this.world.clock.runFor(500);
+		this.world.takeOver();
+		JobSubmission second = this.world.submit("job-2", 0, VirtualWorld.step(6, 1000, 1000));
+		this.world.clock.runFor(10_000);
+		assertThat(this.world.state(second)).isEqualTo(JobState.COMPLETED);
+		assertThat(this.world.violations).isEmpty();
+	}
+
 	@ParameterizedTest
 	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8 })
 	void capacityHoldsBesideTakeoversCancellationsAndLostAnswers(long seed) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -49,6 +49,9 @@
 
 	final List<String> log = new ArrayList<>();
 
+	/** The stored jobs that a successor cannot read. */
+	final Set<JobId> unreadable = new HashSet<>();
+
 	long progressTicks;
 
 	/** The number of failed runs. */
@@ -169,7 +172,9 @@
 				this.clock::now, this.clock::now, LeadershipLease.unlimited(schedulerTerm * 64));
 		this.scheduler = next;
 		for (JobSubmission submission : this.submissions.values()) {
-			next.load(submission, stored(submission.id()));
+			if (!this.unreadable.contains(submission.id())) {
+				next.load(submission, stored(submission.id()));
+			}
 		}
 		this.cancelled.forEach(next::cancel);
 		next.start(this.workers.values().stream().map(VirtualWorker::listing).toList());
