Count losses that a predecessor recorded when their VM has crashed

What callers would see: a deadly task starts anew after each change of leader that comes while its VM is down. Cause: a leader that never saw the crashed VM in the list dropped the losses with it, although its predecessor had seen that the VM was not draining. Change: only a VM that was seen draining drops them.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
@@ -58,7 +58,7 @@
 	 * @param worker the VM
 	 */
 	void fellSilent(Worker worker) {
-		if (attributable(worker)) {
+		if (!worker.drained && worker.incarnationListed) {
 			this.crashAttribution.addLosses(worker, runsOf(worker));
 		}
 		for (Worker successor : this.state.workers.values()) {
@@ -104,17 +104,14 @@
 	}
 
 	private void attribute(Worker worker, List<SuspectRun> runs) {
-		if (attributable(worker)) {
-			this.crashAttribution.handleCrash(worker.currentIncarnation(), runs, this.state.now());
-		}
-		else {
+		if (worker.drained) {
 			this.crashAttribution.removeLosses(worker.currentIncarnation());
+			return;
 		}
-	}
-
-	// A VM that this scheduler never saw in the list may have been draining.
-	private static boolean attributable(Worker worker) {
-		return !worker.drained && worker.incarnationListed;
+		// A VM that this scheduler never saw in the list may have been draining. Losses
+		// that a predecessor recorded count, since it saw the VM.
+		this.crashAttribution.handleCrash(worker.currentIncarnation(), worker.incarnationListed ? runs : List.of(),
+				this.state.now());
 	}
 
 	private List<SuspectRun> runsOf(Worker worker) {
