--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -113,6 +113,20 @@
 		assertThat(this.world.violations).isEmpty();
 	}
 
+	@Test
+	void takeoverDoesNotWaitForAVmThatIsBackUnderANewId() {
+		VirtualWorker crashed = this.world.addWorker("w1");
+		this.world.takeOver();
+		this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 60_000));
+		this.world.clock.runFor(1000);
+		this.world.crashAndReturn(crashed);
+		this.world.clock.runFor(500);
+		this.world.takeOver();
+		this.world.clock.runFor(3500);
+		assertThat(this.world.workers.get("w1+").running).hasSize(1);
+		assertThat(this.world.violations).isEmpty();
+	}
+
 	@Test
 	void takeoverWaitsLessForAWorkerUnlistedForSilence() {
 		this.world.addWorker("w1");
