Give up tasks of the daemon that crash worker after worker

What callers saw: a job with such a task never ended, and every worker was lost in turn. Cause: the same as in jobs: a task that is lost with its worker was started elsewhere without a count. Change: WorkerReconciler tells a crash (a task with a confirmed start is no longer listed) from a start that never arrived, and CrashTracker counts it against the task that was started last; after three the task or its job is given up. Evidence: CrashedWorkerTests.aTaskThatCrashesWorkerAfterWorkerIsGivenUp failed before (not ended after 120 s) and passes with 3 to 5 crashes. Open: the count does not survive a change of the shard's owner.

--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/RetryPolicy.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/RetryPolicy.java
@@ -1,6 +1,7 @@
 package io.lentilstream.tasks.scheduling;
 
 import java.time.Duration;
+import java.util.List;
 
 import io.lentilstream.model.MonotonicTime;
 import io.lentilstream.tasks.TaskState;
@@ -26,6 +27,8 @@
 
 	private final JobLifecycle jobLifecycle;
 
+	private final CrashTracker crashTracker = new CrashTracker();
+
 	RetryPolicy(ShardState state, PendingQueue queue, Placements placements, WorkerProbation probation,
 			JobLifecycle jobLifecycle) {
 		this.state = state;
@@ -77,6 +80,28 @@
 		}
 	}
 
+	/**
+	 * Handles the crash of a worker: releases the tasks that were lost, and gives up the
+	 * one that is responsible, or its job if no equal task has finished.
+	 * @param lost the tasks that were lost
+	 * @param step the step
+	 * @param now the current time
+	 */
+	void handleCrash(List<TaskRecord> lost, StepBuilder step, MonotonicTime now) {
+		lost.forEach((task) -> this.placements.release(task, now));
+		TaskRecord task = this.crashTracker.recordCrash(lost);
+		if (task.state.isEnded() || !this.crashTracker.responsible(task)) {
+			return;
+		}
+		String problem = TaskMessages.crashedWorkers(this.crashTracker.crashes(task));
+		if (task.group.anySucceeded) {
+			failTask(task, problem, step, now);
+		}
+		else {
+			failJob(task.group.job, problem, step, now);
+		}
+	}
+
 	void recordSuccess(TaskRecord task) {
 		task.group.anySucceeded = true;
 		task.group.consecutiveFailures = 0;
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardScheduler.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/ShardScheduler.java
@@ -121,7 +121,7 @@
 				retryPolicy, this.jobLifecycle, new UsageTracker(this.state, this.placements));
 		OverloadMitigator overloadMitigator = new OverloadMitigator(this.state, victimFinder, this.evictor, budget);
 		WorkerReconciler reconciler = new WorkerReconciler(this.state, this.placements, this.reportHandler, stopper,
-				checkpoints, overloadMitigator, this.probation, this.eligibility);
+				checkpoints, overloadMitigator, this.probation, this.eligibility, retryPolicy);
 		this.outcomeHandler = new OutcomeHandler(this.state, this.placements, this.leaseManager, this.reportHandler,
 				reconciler, this.evictor, stopper, this.eligibility, retryPolicy);
 	}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/TaskMessages.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/TaskMessages.java
@@ -16,6 +16,10 @@
 	private TaskMessages() {
 	}
 
+	static String crashedWorkers(int count) {
+		return count + " workers crashed under a task";
+	}
+
 	static String repeatedFailure(String reason, int workers) {
 		return "failed in the same way on " + workers + " workers: " + reason;
 	}
--- a/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkerReconciler.java
+++ b/tasks/src/main/java/io/lentilstream/tasks/scheduling/WorkerReconciler.java
@@ -32,9 +32,11 @@
 
 	private final WorkerEligibility eligibility;
 
+	private final RetryPolicy retryPolicy;
+
 	WorkerReconciler(ShardState state, Placements placements, ReportHandler reportHandler, TaskStopper stopper,
 			CheckpointManager checkpoints, OverloadMitigator overloadMitigator, WorkerProbation probation,
-			WorkerEligibility eligibility) {
+			WorkerEligibility eligibility, RetryPolicy retryPolicy) {
 		this.state = state;
 		this.placements = placements;
 		this.reportHandler = reportHandler;
@@ -43,6 +45,7 @@
 		this.overloadMitigator = overloadMitigator;
 		this.probation = probation;
 		this.eligibility = eligibility;
+		this.retryPolicy = retryPolicy;
 	}
 
 	/**
@@ -85,7 +88,7 @@
 		}
 		worker.usedMilliCores = cores;
 		worker.usedMemory = memory;
-		releaseMissing(worker, command, now);
+		releaseMissing(worker, command, step, now);
 		stopOrphans(worker, orphans, step);
 		if (!worker.reconciled) {
 			worker.reconciled = true;
@@ -125,20 +128,23 @@
 		}
 	}
 
-	private void releaseMissing(WorkerRecord worker, long command, MonotonicTime now) {
-		List<TaskRecord> missing = null;
+	// A worker lists the tasks that ended too, so one that does not list a task of which
+	// it confirmed the start has crashed. A start without a reply may never have arrived.
+	private void releaseMissing(WorkerRecord worker, long command, StepBuilder step, MonotonicTime now) {
+		List<TaskRecord> missing = new ArrayList<>(0);
+		boolean crashed = false;
 		for (TaskRecord task : worker.tasks) {
 			if (task.lastListedCommand != command && task.outstandingCommand == 0 && command > task.newestCommandAtStart
 					&& command > task.startCommand) {
-				missing = (missing != null) ? missing : new ArrayList<>();
 				missing.add(task);
+				crashed |= task.state != TaskState.STARTING;
 			}
 		}
-		if (missing != null) {
-			for (TaskRecord task : missing) {
-				this.placements.release(task, now);
-			}
+		if (crashed) {
+			this.retryPolicy.handleCrash(missing, step, now);
+			return;
 		}
+		missing.forEach((task) -> this.placements.release(task, now));
 	}
 
 	private void stopOrphans(WorkerRecord worker, List<TaskId> orphans, StepBuilder step) {
--- a/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
+++ b/tasks/src/test/java/io/lentilstream/tasks/FakeWorker.java
@@ -45,6 +45,12 @@
 	 */
 	final Map<String, String> failures = new LinkedHashMap<>();
 
+	/** The program that crashes the worker; {@code null} if none does. */
+	String deadlyProgram;
+
+	/** The number of crashes. */
+	int crashes;
+
 	/** Whether throttle commands get lost. */
 	boolean dropsThrottles;
 
@@ -98,6 +104,15 @@
 		return done(List.of(throttle.task()));
 	}
 
+	/**
+	 * Crashes the worker, which is back at once and knows nothing of before.
+	 */
+	void crash() {
+		this.crashes++;
+		this.attempts.clear();
+		this.highestEpoch = Epoch.NONE;
+	}
+
 	void setReachable(boolean reachable) {
 		this.reachable = reachable;
 	}
@@ -146,6 +161,10 @@
 		if (this.refusesStarts) {
 			return new WorkerOutcome.Refused("no");
 		}
+		if (start.task().program().equals(this.deadlyProgram)) {
+			crash();
+			return new WorkerOutcome.NoReply("crashed");
+		}
 		TaskId id = start.task().task();
 		Attempt attempt = this.attempts.get(id);
 		if (attempt == null || !attempt.isRunning()) {
