Stop dispatching a keyed request that breaks endpoint after endpoint

What callers saw: nothing; a deferrable request that crashes the endpoint before it keeps the key was looked up, sealed and sent to the next endpoint without end. Requests without a key were bounded already (RetryRule: three broken attempts). Change: after five broken attempts under one owner the outcome is unknown, which claims neither that it ran nor that it did not. Open: a change of owner starts the count anew.

--- a/requests/src/main/java/io/lentilstream/requests/records/RecordState.java
+++ b/requests/src/main/java/io/lentilstream/requests/records/RecordState.java
@@ -35,6 +35,9 @@
 
 	boolean cancelRequested;
 
+	/** The number of attempts that broke under this owner. */
+	int brokenAttempts;
+
 	MonotonicTime keepUntil;
 
 	Activity activity = Activity.NONE;
--- a/requests/src/main/java/io/lentilstream/requests/records/RequestRecords.java
+++ b/requests/src/main/java/io/lentilstream/requests/records/RequestRecords.java
@@ -36,6 +36,9 @@
 
 	private static final int MAX_SCOPE_LENGTH = 64;
 
+	/** The number of broken attempts after which a request is not dispatched again. */
+	private static final int MAX_BROKEN_ATTEMPTS = 5;
+
 	private static final RecordStep NOTHING = new RecordStep(0, List.of(), List.of());
 
 	private final Object lock = new Object();
@@ -209,6 +212,7 @@
 				return recordAnswered(now, state, answered.status(), answered.contentType(), answered.body());
 			}
 			if (outcome instanceof EndpointOutcome.Broken) {
+				state.brokenAttempts++;
 				return actionsOnly(List.of(lookUp(now, state)));
 			}
 			return handleNotRun(now, state);
@@ -506,7 +510,8 @@
 			return recordAnswered(now, state, ran.status(), ran.contentType(), ran.body());
 		}
 		if (outcome instanceof KeyOutcome.Sealed) {
-			return handleNotRun(now, state);
+			// The endpoints may have crashed under the request, and lost what they ran.
+			return (state.brokenAttempts < MAX_BROKEN_ATTEMPTS) ? handleNotRun(now, state) : recordUnknown(now, state);
 		}
 		if (outcome instanceof KeyOutcome.Running) {
 			state.activity = Activity.LOOKING_UP;
--- a/requests/src/test/java/io/lentilstream/requests/records/RequestRecordsTests.java
+++ b/requests/src/test/java/io/lentilstream/requests/records/RequestRecordsTests.java
@@ -115,6 +115,26 @@
 			.hasOnlyElementsOfType(RecordAction.SendAttempt.class);
 	}
 
+	@Test
+	void aRequestThatCrashesEndpointAfterEndpointIsGivenUp() {
+		List<RecordAction> actions = commit(offer(DIGEST, Optional.of(ENDPOINT)));
+		int sent = 0;
+		for (int round = 0; round < 20; round++) {
+			RecordAction last = actions.get(actions.size() - 1);
+			if (!(last instanceof RecordAction.SendAttempt attempt)) {
+				break;
+			}
+			sent++;
+			commit(this.records.attemptCompleted(this.now, KEY, attempt.attempt(),
+					new EndpointOutcome.Broken("reset")));
+			commit(this.records.lookUpCompleted(this.now, KEY, attempt.attempt(), new KeyOutcome.Unseen()));
+			commit(this.records.sealed(this.now, KEY, attempt.attempt(), new KeyOutcome.Sealed()));
+			actions = commit(this.records.dispatch(this.now, KEY, ENDPOINT));
+		}
+		assertThat(sent).isEqualTo(5);
+		assertThat(this.records.findOutcome(KEY).orElseThrow()).isInstanceOf(RequestOutcome.Unknown.class);
+	}
+
 	@Test
 	void reportsUnknownWhenTheEndpointDoesNotReply() {
 		commit(offer(DIGEST, Optional.of(ENDPOINT)));
