--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
@@ -118,6 +118,7 @@
 			for (StepState step : steps) {
 				for (Task task : step.tasks) {
 					this.state.waiting.remove(task);
+					this.state.suspects.remove(task);
 					List.copyOf(task.runs).forEach((run) -> this.runStopper.requestStop(run, "job " + finalState, now));
 				}
 			}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
@@ -117,6 +117,7 @@
 		task.done = true;
 		task.step.done++;
 		this.state.waiting.remove(task);
+		this.state.suspects.remove(task);
 		if (!task.spec().traits().gang()) {
 			List.copyOf(task.runs)
 				.forEach((copy) -> this.runStopper.requestStop(copy, "another copy has finished", now));
