Split the attribution of a crash from the verdict on a task

Cause: CrashAttribution.handleCrash did both, found in the read-through. Measured: tests of jobs green (138).

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashAttribution.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashAttribution.java
@@ -68,39 +68,49 @@
 	 * @return the number of tasks to which the crash was attributed
 	 */
 	int handleCrash(WorkerIncarnation incarnation, List<SuspectRun> runs, long now) {
-		Set<Task> suspects = new LinkedHashSet<>();
 		Set<Task> onTrial = new HashSet<>();
+		runs.stream().filter(SuspectRun::onTrial).forEach((run) -> onTrial.add(run.task()));
+		Set<Task> suspects = attribute(incarnation, runs, onTrial);
+		suspects.forEach(this::suspect);
+		boolean othersToo = othersFellSilentWith(incarnation);
+		for (Task task : suspects) {
+			if (task.unfinished() && responsible(task, onTrial.contains(task), othersToo)) {
+				holdResponsible(task, now);
+			}
+		}
+		return suspects.size();
+	}
+
+	// Adds the tasks whose recorded loss was a trial to those on trial.
+	private Set<Task> attribute(WorkerIncarnation incarnation, List<SuspectRun> runs, Set<Task> onTrial) {
+		Set<Task> suspects = new LinkedHashSet<>();
 		for (SuspectRun run : runs) {
 			if (run.age().minMillis() < MAX_AGE_MILLIS && run.task().unfinished()) {
 				run.task().suspicion.addCrash(incarnation, run.age());
 				suspects.add(run.task());
-				if (run.onTrial()) {
-					onTrial.add(run.task());
-				}
 			}
 		}
 		for (Task task : this.state.suspects) {
 			Loss loss = task.suspicion.loss(incarnation);
+			boolean mayHaveRun = loss != null || task.suspicion.mayHaveBeenPlannedOn(incarnation);
+			if (!mayHaveRun || !task.unfinished() || !suspects.add(task)) {
+				continue;
+			}
 			if (loss != null && loss.onTrial()) {
 				onTrial.add(task);
 			}
-			boolean mayHaveRun = loss != null || task.suspicion.mayHaveBeenPlannedOn(incarnation);
-			if (mayHaveRun && task.unfinished() && suspects.add(task)) {
-				task.suspicion.addCrash(incarnation, (loss != null) ? loss.age() : UNKNOWN_AGE);
-			}
+			task.suspicion.addCrash(incarnation, (loss != null) ? loss.age() : UNKNOWN_AGE);
 		}
-		suspects.forEach(this::suspect);
-		boolean othersToo = othersFellSilentWith(incarnation);
-		for (Task task : suspects) {
-			int crashes = task.suspicion.crashes().size();
-			boolean prompt = !othersToo && crashes >= PROMPT_CRASHES && task.suspicion.prompt();
-			boolean proved = onTrial.contains(task) && task.suspicion.consistent()
-					&& (prompt || task.suspicion.certainCrashes() >= OTHER_CRASHES);
-			if (task.unfinished() && (proved || crashes >= MAX_CRASHES)) {
-				holdResponsible(task, now);
-			}
+		return suspects;
+	}
+
+	private static boolean responsible(Task task, boolean onTrial, boolean othersToo) {
+		int crashes = task.suspicion.crashes().size();
+		if (!onTrial || !task.suspicion.consistent()) {
+			return crashes >= MAX_CRASHES;
 		}
-		return suspects.size();
+		boolean prompt = !othersToo && crashes >= PROMPT_CRASHES && task.suspicion.prompt();
+		return prompt || task.suspicion.certainCrashes() >= OTHER_CRASHES || crashes >= MAX_CRASHES;
 	}
 
 	private void suspect(Task task) {
