--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashAttribution.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashAttribution.java
@@ -13,8 +13,8 @@
 import io.lentilstream.jobs.scheduling.CrashDetector.SuspectRun;
 
 /**
- * Attributes crashes of VMs to the tasks that ran on them, and fails the job of a task
- * that crashes its VMs. A task is held responsible once two VMs have crashed under it,
+ * The attribution of crashes of VMs to the tasks that ran on them. The job of a task that
+ * crashes its VMs fails. A task is held responsible once two VMs have crashed under it,
  * the last one in a trial. Tasks of which all crashes are explained by that are cleared.
  * Load pattern: single tasks that crash each VM that starts them, beside busy neighbours.
  */
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
@@ -9,10 +9,10 @@
 import io.lentilstream.jobs.WorkerIncarnation;
 
 /**
- * Detects that an incarnation of a VM has crashed: a later incarnation reports under its
- * id or at its address, and it was not draining. Silence alone is no crash, since the VM
- * may be cut off. Load pattern: VMs that crash and are back after seconds, many of them
- * under a new id.
+ * A detector of crashed incarnations of VMs. One has crashed if a later incarnation
+ * reports under its id or at its address, and it was not draining. Silence alone is no
+ * crash, since the VM may be cut off. Load pattern: VMs that crash and are back after
+ * seconds, many of them under a new id.
  */
 final class CrashDetector {
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SuspectStarter.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SuspectStarter.java
@@ -7,7 +7,7 @@
 import io.lentilstream.jobs.WorkerIncarnation;
 
 /**
- * Starts tasks that may have crashed a VM. Each start is stored first, so that a
+ * A starter of tasks that may have crashed a VM. Each start is stored first, so that a
  * successor can attribute its crash. A task that has to be on trial starts apart from
  * other starts on its VM, so that a crash tells which task caused it, and on the stable
  * VM with the fewest runs. Load pattern: single tasks that crash each VM that starts
