--- a/control/src/test/java/io/lentilstream/control/term/WorkerRegistryTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/WorkerRegistryTests.java
@@ -31,7 +31,7 @@
 
 	private final MemoryStore store = new MemoryStore(this.loop);
 
-	private final JobScheduler scheduler = new JobScheduler(new SchedulerSettings(6000, 3, 4000, 4000, 3000),
+	private final JobScheduler scheduler = new JobScheduler(new SchedulerSettings(6000, 3, 4000, 4000, 3000, Set.of()),
 			new UnansweredCommands(), (decision, subject, inputs) -> {
 			}, this.loop::now, this.loop::wallClockMillis, LeadershipLease.unlimited(0));
 
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/carryover/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Knowledge that a leader hands over to its successor.
+ */
+package io.lentilstream.jobs.carryover;
--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/runtime/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Prediction of the run times of tasks.
+ */
+package io.lentilstream.jobs.runtime;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
@@ -1,5 +1,7 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.util.Set;
+
 /**
  * The limits that the platform sets for commands to VMs.
  *
@@ -10,7 +12,18 @@
  * a takeover, in milliseconds
  * @param unlistedAfterMillis the time without heartbeats after which a VM is removed from
  * the list, in milliseconds
+ * @param features the optional features that are enabled
  */
 public record SchedulerSettings(long maxLeaseMillis, double remoteFactor, long maxOverTargetMillis,
-		long predecessorLeadershipMillis, long unlistedAfterMillis) {
+		long predecessorLeadershipMillis, long unlistedAfterMillis, Set<SchedulerFeature> features) {
+
+	/**
+	 * Tells whether a feature is enabled.
+	 * @param feature the feature
+	 * @return {@code true} if it is
+	 */
+	public boolean enabled(SchedulerFeature feature) {
+		return this.features.contains(feature);
+	}
+
 }
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -35,7 +35,7 @@
  */
 final class VirtualWorld {
 
-	static final SchedulerSettings SETTINGS = new SchedulerSettings(6000, 3, 4000, 4000, 3000);
+	static final SchedulerSettings SETTINGS = new SchedulerSettings(6000, 3, 4000, 4000, 3000, Set.of());
 
 	final VirtualClock clock = new VirtualClock();
 
