Start no tasks in availability zones that operators evacuate

Cause: op/evacuate/ZONE was not read by any process, so tasks were started in a zone for as long as its evacuation lasted. Change: every process keeps the set of zones beside the configuration, and the leader closes the VMs of these zones to new runs; runs in progress stay. A process runs for leadership only after it has read the operators' items once.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -21,6 +21,7 @@
 import io.lentilstream.control.term.WorkerPlatform;
 import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.scheduling.SchedulerSettings;
+import io.lentilstream.model.AvailabilityZoneId;
 
 /**
  * A control process without its HTTP endpoints. It watches the configuration and the
@@ -53,12 +54,16 @@
 
 	private final Function<StoredItem, Optional<Configuration>> decoder;
 
+	private final EvacuatedZones evacuatedZones;
+
 	private Configuration configuration;
 
 	private Term term;
 
 	private boolean draining;
 
+	private boolean configurationRead;
+
 	/**
 	 * Creates a process that has not started.
 	 * @param dependencies the event loop, the store and the log
@@ -75,6 +80,7 @@
 		this.settings = settings;
 		this.platform = platform;
 		this.decoder = source.decoder();
+		this.evacuatedZones = new EvacuatedZones(source.evacuatedZone());
 		this.leaderConnection = new LeaderConnection(dependencies.loop(), group, dependencies.log(),
 				this::recheckLeader);
 		Leadership.Candidate candidate = new Leadership.Candidate(settings.name(), settings.peerAddress(),
@@ -85,7 +91,7 @@
 				this::lastStoreReplyAt);
 		this.peerServer = new PeerServer(this.service::handleFrame);
 		this.configurationWatcher = new PrefixWatcher(dependencies.loop(), dependencies.store(), dependencies.log(),
-				source.prefix(), new PrefixWatcher.WatchTiming(1000, 0), this::configurationChanged);
+				source.prefix(), new PrefixWatcher.WatchTiming(1000, 0), new ConfigurationListener());
 	}
 
 	/**
@@ -94,10 +100,7 @@
 	 */
 	public void start() throws InterruptedException {
 		this.peerServer.listen(this.group, this.settings.peerAddress());
-		this.group.execute(() -> {
-			this.configurationWatcher.start();
-			this.leadership.checkLeader();
-		});
+		this.group.execute(this.configurationWatcher::start);
 	}
 
 	/**
@@ -160,6 +163,9 @@
 	}
 
 	private void configurationChanged(StoredItem item) {
+		if (this.evacuatedZones.apply(item) && this.term != null) {
+			this.term.updateEvacuations(this.evacuatedZones.zones());
+		}
 		if (!item.exists()) {
 			return;
 		}
@@ -188,6 +194,27 @@
 		this.dependencies.loop().schedule(LEADER_RECHECK_MILLIS, this.leadership::checkLeader);
 	}
 
+	/**
+	 * Applies what operators have stored. This process runs for leadership only after it
+	 * has read that once, so that it never leads without the zones under evacuation.
+	 */
+	private final class ConfigurationListener implements PrefixWatcher.Listener {
+
+		@Override
+		public void itemChanged(StoredItem item) {
+			configurationChanged(item);
+		}
+
+		@Override
+		public void batchDelivered() {
+			if (!ControlNode.this.configurationRead) {
+				ControlNode.this.configurationRead = true;
+				ControlNode.this.leadership.checkLeader();
+			}
+		}
+
+	}
+
 	/**
 	 * Starts a term when this process wins the leadership and stops it when it is lost.
 	 */
@@ -202,6 +229,7 @@
 					node.settings.retentionMillis(), resign, node.leadership::leaseHeld,
 					node.configurationWatcher::stableSince);
 			node.term.updatePolicies(node.policies());
+			node.term.updateEvacuations(node.evacuatedZones.zones());
 			node.term.start();
 		}
 
@@ -248,8 +276,11 @@
 	 *
 	 * @param prefix the prefix of its key in the store
 	 * @param decoder decodes an item, or returns empty if it is not a configuration
+	 * @param evacuatedZone returns the availability zone that an item evacuates, or empty
+	 * if it is another item
 	 */
-	public record ConfigurationSource(String prefix, Function<StoredItem, Optional<Configuration>> decoder) {
+	public record ConfigurationSource(String prefix, Function<StoredItem, Optional<Configuration>> decoder,
+			Function<StoredItem, Optional<AvailabilityZoneId>> evacuatedZone) {
 	}
 
 }
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -32,6 +32,7 @@
 import io.lentilstream.jobs.scheduling.JobScheduler;
 import io.lentilstream.jobs.scheduling.LeadershipLease;
 import io.lentilstream.jobs.scheduling.SchedulerSettings;
+import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.JobId;
 
 /**
@@ -98,6 +99,8 @@
 
 	private Map<String, QueuePolicy> policies = Map.of();
 
+	private Set<AvailabilityZoneId> evacuatedZones = Set.of();
+
 	private final Set<JobId> earlyCancellations = new HashSet<>();
 
 	private boolean loaded;
@@ -232,6 +235,17 @@
 		}
 	}
 
+	/**
+	 * Replaces the availability zones in which no tasks may be started.
+	 * @param zones the zones that operators evacuate
+	 */
+	public void updateEvacuations(Set<AvailabilityZoneId> zones) {
+		this.evacuatedZones = zones;
+		if (this.loaded) {
+			this.scheduler.updateEvacuations(zones);
+		}
+	}
+
 	/**
 	 * Returns the state of a job that may be reported to callers.
 	 * @param job the job
@@ -285,6 +299,9 @@
 		restoreInterference(initialState.interference);
 		this.loaded = true;
 		this.scheduler.updatePolicies(this.policies);
+		if (!this.evacuatedZones.isEmpty()) {
+			this.scheduler.updateEvacuations(this.evacuatedZones);
+		}
 		cancelled.forEach(this.scheduler::cancel);
 		this.log.append("term-begun", this.fencingToken, "jobs", initialState.intake.items().size(), "workers",
 				predecessorWorkers.size(), "after-ms", this.loop.now() - this.startedAt);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
@@ -56,7 +56,7 @@
 		double free = 0;
 		long largest = 0;
 		for (Worker worker : workers) {
-			if (!worker.hasReported || worker.unlistedSince >= 0 || worker.missedReports > 0
+			if (!worker.hasReported || worker.unlistedSince >= 0 || worker.missedReports > 0 || worker.evacuated
 					|| !worker.listing.service().equals(task.job.policy.service())) {
 				continue;
 			}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.LongSupplier;
 
 import io.lentilstream.jobs.DecisionLog;
@@ -18,6 +19,7 @@
 import io.lentilstream.jobs.WorkerCommands;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.JobId;
 
 /**
@@ -56,6 +58,8 @@
 
 	private final CrashDetector crashDetector;
 
+	private final ZoneEvacuation zoneEvacuation;
+
 	/**
 	 * Creates a scheduler without jobs and VMs.
 	 * @param settings the limits set by the platform
@@ -69,6 +73,7 @@
 			LongSupplier timeOfDay, LeadershipLease leadershipLease) {
 		this.state = new SchedulerState(settings, commands, log, clock, leadershipLease);
 		this.takeover = new TakeoverTracker(this.state);
+		this.zoneEvacuation = new ZoneEvacuation(log);
 		this.runStopper = new RunStopper(this.state);
 		this.progression = new JobProgression(this.state, this.runStopper, timeOfDay);
 		WorkerCircuitBreaker circuitBreaker = new WorkerCircuitBreaker(this.state);
@@ -184,6 +189,7 @@
 				Worker worker = new Worker(listing, now);
 				worker.unlistedSince = now;
 				worker.incarnationListed = false;
+				this.zoneEvacuation.mark(worker);
 				this.state.workers.put(listing.id(), worker);
 			}
 		}
@@ -234,7 +240,9 @@
 		long now = this.state.now();
 		Worker worker = this.state.workers.get(listing.id());
 		if (worker == null) {
-			this.state.workers.put(listing.id(), new Worker(listing, now));
+			worker = new Worker(listing, now);
+			this.zoneEvacuation.mark(worker);
+			this.state.workers.put(listing.id(), worker);
 			this.state.log.append("worker-listed", listing.id(), "address", listing.address(), "zone", listing.zone(),
 					"draining", listing.draining());
 			return;
@@ -249,6 +257,7 @@
 			this.reportHandler.handleRestart(worker, listing.incarnationStartMillis(), now);
 		}
 		worker.listing = listing;
+		this.zoneEvacuation.mark(worker);
 		worker.incarnationListed = true;
 		worker.drained |= listing.draining();
 		worker.unlistedSince = -1;
@@ -287,6 +296,14 @@
 		}
 	}
 
+	/**
+	 * Replaces the availability zones in which no tasks may be started.
+	 * @param zones the zones that operators evacuate
+	 */
+	public void updateEvacuations(Set<AvailabilityZoneId> zones) {
+		this.zoneEvacuation.update(zones, this.state.workers.values());
+	}
+
 	/**
 	 * Performs the work that is due: sends commands, drops runs with expired leases and
 	 * places waiting tasks. Must be called after events and every few milliseconds.
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -102,6 +102,9 @@
 	/** Whether this scheduler has seen the current incarnation in the list. */
 	boolean incarnationListed = true;
 
+	/** Whether operators evacuate the availability zone of the VM. */
+	boolean evacuated;
+
 	/** Whether the current incarnation was listed as draining. */
 	boolean drained;
 
@@ -248,7 +251,7 @@
 	boolean acceptsTasks(long now) {
 		// The listed capacity and labels are those of the listed incarnation.
 		return this.hasReported && this.incarnationListed && this.unlistedSince < 0 && !this.listing.draining()
-				&& this.missedReports == 0 && !this.hasUnknownRuns && now >= this.avoidUntil
+				&& !this.evacuated && this.missedReports == 0 && !this.hasUnknownRuns && now >= this.avoidUntil
 				&& (this.consecutiveFailures < WorkerCircuitBreaker.FAILURE_THRESHOLD || this.startsSinceAvoided == 0);
 	}
 
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -55,6 +55,8 @@
 	/** Whether a network partition drops commands and results. */
 	boolean partitioned;
 
+	String zone = "a";
+
 	/** Whether the VM is listed as draining. */
 	boolean draining;
 
@@ -91,7 +93,7 @@
 	}
 
 	WorkerListing listing() {
-		return new WorkerListing(new WorkerId(this.id), this.incarnationStartMillis, SERVICE, this.address, "a",
+		return new WorkerListing(new WorkerId(this.id), this.incarnationStartMillis, SERVICE, this.address, this.zone,
 				this.draining, "r1-1", this.capacity, Set.of("k", "r1-1"));
 	}
 
