Account for the time of tasks and log it once per job

Each task now carries a timer that charges the time between two events to a phase; the phases along the critical chain of a job are written on one job-times line when it ends. Once a second, a room line per queue tells who has the room, and a service-times line each long-running job that has lost time.

--- a/control/src/main/java/io/lentilstream/control/logging/JsonLineLog.java
+++ b/control/src/main/java/io/lentilstream/control/logging/JsonLineLog.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.ArrayBlockingQueue;
 import java.util.function.LongSupplier;
 
@@ -27,7 +28,20 @@
 	 */
 	private static final int MAX_LINES_PER_SECOND = 200;
 
-	private static final int MAX_QUEUED_LINES = 4000;
+	/**
+	 * The decisions of which there is one line per job, or per queue or job and second,
+	 * and that the explanation of late jobs relies on.
+	 */
+	private static final Set<String> SUMMARIES = Set.of("job-times", "service-times", "room", "job-submitted",
+			"job-refused");
+
+	/** Maximum number of lines per second of the same summary. */
+	private static final int MAX_SUMMARIES_PER_SECOND = 2000;
+
+	private static final int MAX_QUEUED_LINES = 8000;
+
+	/** The part of the queue that is kept for summaries, in lines. */
+	private static final int QUEUED_SUMMARIES = 4000;
 
 	/** Time between two writes, in milliseconds. */
 	private static final long WRITE_INTERVAL_MILLIS = 100;
@@ -75,7 +89,8 @@
 			this.droppedLines++;
 			return;
 		}
-		if (!this.lines.offer(format(time, decision, subject, inputs))) {
+		boolean full = !SUMMARIES.contains(decision) && this.lines.remainingCapacity() <= QUEUED_SUMMARIES;
+		if (full || !this.lines.offer(format(time, decision, subject, inputs))) {
 			this.droppedLines++;
 		}
 	}
@@ -90,7 +105,8 @@
 				append("lines-left-out", this.node, "count", count);
 			}
 		}
-		return this.linesThisSecond.merge(decision, 1, Integer::sum) > MAX_LINES_PER_SECOND;
+		int limit = SUMMARIES.contains(decision) ? MAX_SUMMARIES_PER_SECOND : MAX_LINES_PER_SECOND;
+		return this.linesThisSecond.merge(decision, 1, Integer::sum) > limit;
 	}
 
 	private String format(long time, String decision, Object subject, Object[] inputs) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -32,6 +32,9 @@
 	/** When this scheduler received the job, in milliseconds on the monotonic clock. */
 	final long knownSince;
 
+	/** Whether the job was accepted before this scheduler took over. */
+	boolean loadedAtTakeover;
+
 	/**
 	 * Whether stored progress shows that tasks may have been started. The first task of a
 	 * job starts only after this is stored, so a successor may start all tasks of a job
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
@@ -26,10 +26,13 @@
 
 	private final LongSupplier timeOfDay;
 
+	private final JobTimesLogger timesLogger;
+
 	JobProgression(SchedulerState state, RunStopper runStopper, LongSupplier timeOfDay) {
 		this.state = state;
 		this.runStopper = runStopper;
 		this.timeOfDay = timeOfDay;
+		this.timesLogger = new JobTimesLogger(state, timeOfDay);
 	}
 
 	/**
@@ -76,6 +79,7 @@
 			}
 			for (Task task : step.tasks) {
 				task.dueAt = job.latestStart(step.number, (occurrence == 0) ? job.knownSince : now);
+				RunTimes.released(task, now);
 				task.lateDueAt = task.dueAt + (LATE_FACTOR - 1) * job.objectiveMillis();
 				if (task.startable()) {
 					this.state.addWaiting(task);
@@ -91,6 +95,7 @@
 			return;
 		}
 		job.occurrences.remove(occurrence);
+		this.timesLogger.log(job, steps, JobState.COMPLETED, now);
 		job.completedOccurrences.add(occurrence);
 		if (job.completedOccurrences.size() >= job.submission.schedule().occurrences()) {
 			endJob(job, JobState.COMPLETED, "all tasks are done", now);
@@ -115,6 +120,7 @@
 		this.state.log.append("job-ended", job.id(), "state", finalState, "reason", reason, "age-ms",
 				now - job.knownSince);
 		for (List<StepState> steps : job.occurrences.values()) {
+			this.timesLogger.log(job, steps, finalState, now);
 			for (StepState step : steps) {
 				for (Task task : step.tasks) {
 					this.state.waiting.remove(task);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -100,6 +100,7 @@
 	public void load(JobSubmission submission, Optional<JobProgress> progress) {
 		long now = this.state.now();
 		Job job = new Job(submission, now);
+		job.loadedAtTakeover = true;
 		this.state.jobs.put(job.id(), job);
 		progress.ifPresent((stored) -> restoreProgress(job, stored));
 		if (!job.active()) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
@@ -10,10 +10,13 @@
 
 	private final SchedulerState state;
 
+	private final RoomLogger roomLogger;
+
 	private long nextAt = Long.MIN_VALUE;
 
 	LoadLogger(SchedulerState state) {
 		this.state = state;
+		this.roomLogger = new RoomLogger(state);
 	}
 
 	/**
@@ -25,6 +28,7 @@
 			return;
 		}
 		this.nextAt = now + PERIOD_MILLIS;
+		this.roomLogger.log(now);
 		long capacity = 0;
 		long serving = 0;
 		long regular = 0;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -11,6 +11,7 @@
 import java.util.Set;
 
 import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.jobs.accounting.TimePhase;
 import io.lentilstream.model.Resources;
 import io.lentilstream.model.ServiceName;
 
@@ -150,6 +151,7 @@
 	}
 
 	private void reserve(Task task, Worker worker, long now) {
+		task.timer.enter(TimePhase.STORING, now);
 		this.reserved.add(addReservation(task, worker, now));
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
@@ -115,6 +115,7 @@
 			return;
 		}
 		task.done = true;
+		task.timer.end(now);
 		task.step.done++;
 		this.state.waiting.remove(task);
 		this.state.suspects.remove(task);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -86,6 +86,7 @@
 		if (!this.waiting.contains(task)) {
 			task.hasRunBefore = task.lastRun > 0;
 			task.waitingSince = now();
+			task.timer.enterWait(!task.checkpoint.isEmpty(), task.waitingSince);
 			this.waiting.add(task);
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -9,6 +9,7 @@
 import io.lentilstream.jobs.StoredSuspicion;
 import io.lentilstream.jobs.TaskName;
 import io.lentilstream.jobs.WorkerId;
+import io.lentilstream.jobs.accounting.TaskTimer;
 
 /**
  * A task of an accepted job.
@@ -65,6 +66,8 @@
 
 	final List<Run> runs = new ArrayList<>(1);
 
+	final TaskTimer timer = new TaskTimer();
+
 	final Suspicion suspicion = new Suspicion();
 
 	/** The planned start of a suspected task; {@code null} if there is none. */
