--- a/control/src/test/java/io/lentilstream/control/logging/JsonLineLogTests.java
+++ b/control/src/test/java/io/lentilstream/control/logging/JsonLineLogTests.java
@@ -34,6 +34,31 @@
 		assertThat(written().lines()).hasSize(202).anyMatch((line) -> line.contains("\"count\":800"));
 	}
 
+	@Test
+	void summariesAreKeptWhileOtherLinesAreLeftOut() {
+		for (int i = 0; i < 1500; i++) {
+			for (String kind : new String[] { "a", "b", "c", "d", "e", "f", "g" }) {
+				this.log.append(kind, "task");
+			}
+			this.log.append("job-times", "job");
+		}
+		assertThat(written().lines().filter((line) -> line.contains("job-times"))).hasSize(1500);
+	}
+
+	@Test
+	void queueFullOfOtherLinesHasRoomForSummaries() {
+		for (int second = 0; second < 100; second++) {
+			this.time.addAndGet(1000);
+			for (int i = 0; i < 200; i++) {
+				this.log.append("task-started", "job");
+			}
+		}
+		for (int i = 0; i < 1500; i++) {
+			this.log.append("job-times", "job");
+		}
+		assertThat(written().lines().filter((line) -> line.contains("job-times"))).hasSize(1500);
+	}
+
 	@Test
 	void aBlockedOutputDoesNotBlockDecisions() throws InterruptedException {
 		CountDownLatch blocked = new CountDownLatch(1);
