Place last attempts and long-running tasks on VMs believed to be sound

Change: a belief of each VM's soundness from ended and stalled runs, against the usual share of failures of the queue, decaying; used for the choice of a VM where worker-profiles is enabled.

--- /dev/null
+++ b/jobs/src/main/java/io/lentilstream/jobs/reliability/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Beliefs about which VMs fail tasks for reasons of their own.
+ */
+package io.lentilstream.jobs.reliability;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -80,8 +80,10 @@
 		this.headroom = new HeadroomReserve(this.state);
 		TailForecast forecast = new TailForecast(this.interference);
 		this.utilization = new UtilizationTracker(this.state);
-		WorkerSelector workerSelector = new WorkerSelector(forecast, this.headroom, this.utilization);
-		this.runEndHandler = new RunEndHandler(this.state, this.runStopper, this.progression, circuitBreaker);
+		ReliablePlacementRule reliability = new ReliablePlacementRule(this.state);
+		WorkerSelector workerSelector = new WorkerSelector(forecast, this.headroom, this.utilization, reliability);
+		this.runEndHandler = new RunEndHandler(this.state, this.runStopper, this.progression, circuitBreaker,
+				reliability);
 		RunStarter runStarter = new RunStarter(this.state, this.runEndHandler, circuitBreaker);
 		CrashAttribution crashAttribution = new CrashAttribution(this.state, this.progression);
 		this.crashDetector = new CrashDetector(this.state, this.runEndHandler, crashAttribution);
@@ -91,7 +93,7 @@
 				suspectStarter);
 		this.reportPoller = new ReportPoller(this.state, this.reportHandler, this.runEndHandler, this.crashDetector);
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
-				workerSelector);
+				workerSelector, reliability);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
 		this.loadLogger = new LoadLogger(this.state);
 		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
@@ -22,8 +22,11 @@
 
 	private final WorkerCircuitBreaker circuitBreaker;
 
+	private final ReliablePlacementRule reliability;
+
 	RunEndHandler(SchedulerState state, RunStopper runStopper, JobProgression progression,
-			WorkerCircuitBreaker circuitBreaker) {
+			WorkerCircuitBreaker circuitBreaker, ReliablePlacementRule reliability) {
+		this.reliability = reliability;
 		this.state = state;
 		this.runStopper = runStopper;
 		this.progression = progression;
@@ -52,6 +55,7 @@
 			task.checkpoint = checkpoint;
 		}
 		this.circuitBreaker.recordOutcome(worker, outcome, now);
+		this.reliability.recordEnd(task, worker, outcome, now);
 		if (outcome == RunOutcome.DONE && !task.spec().traits().longRunning()) {
 			completeTask(task, now);
 			return;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StragglerDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StragglerDetector.java
@@ -39,8 +39,11 @@
 
 	private final WorkerSelector workerSelector;
 
+	private final ReliablePlacementRule reliability;
+
 	StragglerDetector(SchedulerState state, RunStopper runStopper, RunStarter runStarter,
-			WorkerCircuitBreaker circuitBreaker, WorkerSelector workerSelector) {
+			WorkerCircuitBreaker circuitBreaker, WorkerSelector workerSelector, ReliablePlacementRule reliability) {
+		this.reliability = reliability;
 		this.state = state;
 		this.runStopper = runStopper;
 		this.runStarter = runStarter;
@@ -74,6 +77,7 @@
 		if (stalled) {
 			run.task.failedOn = run.worker.id();
 			this.circuitBreaker.avoid(run.worker, AVOID_MILLIS, "run makes no progress", now);
+			this.reliability.recordStall(run.worker, now);
 			this.runStopper.requestStop(run, "no progress", now);
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -10,6 +10,7 @@
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerIncarnation;
 import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.reliability.FaultBelief;
 import io.lentilstream.model.Resources;
 
 /**
@@ -99,6 +100,8 @@
 
 	int consecutiveFailures;
 
+	FaultBelief faultBelief = new FaultBelief();
+
 	/** Whether this scheduler has seen the current incarnation in the list. */
 	boolean incarnationListed = true;
 
@@ -154,6 +157,7 @@
 		this.missedReports = 0;
 		this.lastReportAt = now;
 		this.consecutiveFailures = 0;
+		this.faultBelief = new FaultBelief();
 		this.drained = false;
 		this.incarnationListed = false;
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -74,7 +74,11 @@
 
 	private final UtilizationTracker utilization;
 
-	WorkerSelector(TailForecast forecast, HeadroomReserve headroom, UtilizationTracker utilization) {
+	private final ReliablePlacementRule reliability;
+
+	WorkerSelector(TailForecast forecast, HeadroomReserve headroom, UtilizationTracker utilization,
+			ReliablePlacementRule reliability) {
+		this.reliability = reliability;
 		this.utilization = utilization;
 		this.headroom = headroom;
 		this.forecast = forecast;
@@ -116,7 +120,8 @@
 		if (placement.maxPerWorker() > 0 && worker.countRuns(task.step) >= placement.maxPerWorker()) {
 			return false;
 		}
-		return !spec.traits().bestEffort() || canRunBestEffort(task, worker, now);
+		return this.reliability.permits(task, worker, now)
+				&& (!spec.traits().bestEffort() || canRunBestEffort(task, worker, now));
 	}
 
 	private boolean canRunBestEffort(Task task, Worker worker, long now) {
@@ -188,7 +193,7 @@
 	double score(Task task, Worker worker) {
 		StepSpec spec = task.spec();
 		Resources capacity = worker.listing.capacity();
-		double score = 0;
+		double score = -this.reliability.penalty(task, worker);
 		if (spec.placement().affinityRack().equals(worker.listing.rack())) {
 			score += AFFINITY_SCORE;
 		}
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/HarmlessBestEffortTests.java
@@ -170,7 +170,8 @@
 		this.state.workers.put(this.worker.id(), this.worker);
 		UtilizationTracker utilization = new UtilizationTracker(this.state);
 		utilization.update(this.now);
-		WorkerSelector workerSelector = new WorkerSelector(this.forecast, new HeadroomReserve(this.state), utilization);
+		WorkerSelector workerSelector = new WorkerSelector(this.forecast, new HeadroomReserve(this.state), utilization,
+				new ReliablePlacementRule(this.state));
 		return workerSelector.choose(task, List.of(this.worker), "", this.now);
 	}
 
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -98,6 +98,9 @@
 
 	private int term = -1;
 
+	/** The optional features of the next scheduler. */
+	Set<SchedulerFeature> features = Set.of();
+
 	JobScheduler scheduler;
 
 	VirtualWorld(long seed) {
@@ -168,7 +171,7 @@
 		this.term++;
 		int schedulerTerm = this.term;
 		long token = schedulerTerm + 1L;
-		JobScheduler next = new JobScheduler(SETTINGS, new VirtualCommands(schedulerTerm, token), this::logDecision,
+		JobScheduler next = new JobScheduler(settings(), new VirtualCommands(schedulerTerm, token), this::logDecision,
 				this.clock::now, this.clock::now, LeadershipLease.unlimited(schedulerTerm * 64));
 		this.scheduler = next;
 		for (JobSubmission submission : this.submissions.values()) {
@@ -186,6 +189,11 @@
 		checkPeriodically(schedulerTerm);
 	}
 
+	private SchedulerSettings settings() {
+		return new SchedulerSettings(SETTINGS.maxLeaseMillis(), SETTINGS.remoteFactor(), SETTINGS.maxOverTargetMillis(),
+				SETTINGS.predecessorLeadershipMillis(), SETTINGS.unlistedAfterMillis(), this.features);
+	}
+
 	void toggleStore() {
 		this.storeUp = !this.storeUp;
 	}
@@ -226,9 +234,12 @@
 	}
 
 	JobSubmission submit(String id, int priority, StepSpec... steps) {
-		JobSubmission submission = new JobSubmission(new JobId(id), "q" + priority,
-				new QueuePolicy(VirtualWorker.SERVICE, priority, 3, 2, 500), "payload", List.of(steps),
-				JobSubmission.Schedule.ONCE, this.clock.now());
+		return submit(id, new QueuePolicy(VirtualWorker.SERVICE, priority, 3, 2, 500), steps);
+	}
+
+	JobSubmission submit(String id, QueuePolicy policy, StepSpec... steps) {
+		JobSubmission submission = new JobSubmission(new JobId(id), "q" + policy.priority(), policy, "payload",
+				List.of(steps), JobSubmission.Schedule.ONCE, this.clock.now());
 		this.submissions.put(submission.id(), submission);
 		this.scheduler.submit(submission);
 		return submission;
