Collect all accepted work of the demonstration before judging it

(2) It collected payments one call after the other; once that had used up the shared 12 s, jobs were not queried at all: "jobs did not end: [ledgers, proofs]" with 30 of 30 tasks finished. (3) 12 s is less than the 24 ledger tasks need on a shard that the crash leaves with one worker (3 at a time, 3 s each). (4) leaving-endpoint was checked 0 times when the chosen endpoint got no work before the list showed it as leaving. (5) No worker was crashed when none ran a task at that instant. (6) Requests in flight at the drain had a timeout of 500 ms, so a slow endpoint ended them as unknown, and the drain had 2 s.

Change: the stop waits for outcomes in flight; payments are collected concurrently; each job is queried at least once; the times are derived from the store lease, the lists, the exclusion delay, the task lease and the job's run time; an endpoint leaves while it is in use; the demonstration waits for a busy worker and reports a violation if there is none; requests at the drain have a timeout of 10 s. No check is removed.

--- a/cli/src/main/java/io/lentilstream/cli/demo/Demo.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/Demo.java
@@ -6,12 +6,15 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 
 import io.lentilstream.clients.TaskReport;
 import io.lentilstream.model.EndpointId;
+import io.lentilstream.model.VmId;
 import io.lentilstream.standin.EndpointFault;
+import io.lentilstream.standin.EndpointRecord;
 import io.lentilstream.standin.OutageMode;
 import io.lentilstream.standin.StandinRecords;
 import io.lentilstream.standin.TaskRun;
@@ -26,10 +29,28 @@
 
 	private static final long READY_TIMEOUT_MILLIS = 10_000;
 
-	private static final long COMPLETION_TIMEOUT_SECONDS = 12;
+	/**
+	 * Time within which accepted work completes after the load has ended: a takeover
+	 * after the kill and one after the drain, the end of the crashed worker's leases, and
+	 * the job's tasks at the rate of the smallest shard.
+	 */
+	private static final Duration COMPLETION_TIMEOUT = DemoCluster.TAKEOVER_LIMIT.multipliedBy(2)
+		.plus(DemoCluster.TASK_LEASE_LIMIT)
+		.plus(DemoJobs.runTimeLimit());
+
+	/**
+	 * Time within which a graceful shutdown ends: the time until the load balancer has
+	 * removed the entry VM, a request that was accepted last, and a takeover.
+	 */
+	private static final Duration DRAIN_TIMEOUT = Duration.ofMillis(1_000 + DemoClient.CALL_TIMEOUT_MILLIS)
+		.plus(DemoCluster.TAKEOVER_LIMIT);
+
+	private static final long POLL_INTERVAL_MILLIS = 20;
 
 	private static final long MAX_WORK_AFTER_LEAVING_MILLIS = 3_000;
 
+	private static final int ENDPOINTS_WITH_FAULTS = 2;
+
 	private static final int REQUESTS_PER_SECOND = 200;
 
 	private static final int REQUESTS_DURING_DRAIN = 100;
@@ -66,17 +87,17 @@
 			DemoOperator operator = new DemoOperator(cluster, client, this.checks);
 			createTeam(operator);
 			DemoUrgentLoad urgent = new DemoUrgentLoad(cluster, client, this.checks);
-			DemoPayments payments = new DemoPayments(cluster, client, this.checks);
-			DemoJobs jobs = new DemoJobs(cluster, client);
+			DemoPayments payments = new DemoPayments(cluster::nextBaseUrl, client, this.checks);
+			DemoJobs jobs = new DemoJobs(cluster::nextBaseUrl, client);
 			Thread.sleep(500);
 			urgent.start(REQUESTS_PER_SECOND);
 			payments.start();
-			jobs.submit("ledgers", "batch", 24, "sleep:3000ms", 2);
+			jobs.submit("ledgers", "batch", DemoJobs.LEDGER_TASKS, "sleep:" + DemoJobs.LEDGER_TASK_MILLIS + "ms", 2);
 			progress("sends urgent requests, payments and batch jobs");
 			injectFaults(cluster, operator, urgent, jobs);
 			urgent.stop();
 			payments.stop();
-			long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(COMPLETION_TIMEOUT_SECONDS);
+			long deadlineNanos = System.nanoTime() + COMPLETION_TIMEOUT.toNanos();
 			payments.collectAll(deadlineNanos);
 			List<String> unfinishedJobs = jobs.awaitCompletion(deadlineNanos);
 			progress("collected answers and jobs");
@@ -129,9 +150,14 @@
 		endpointFaults(cluster, 1, 1).next(EndpointFault.ANSWERS_TWICE, 5);
 		progress("endpoints cross, truncate, double and drop answers");
 		Thread.sleep(500);
+		Optional<VmId> busyWorker = awaitBusyWorker(cluster);
+		this.checks.resumeOnce.check(busyWorker.isPresent(), "no worker ran a task, so none was crashed");
 		cluster.members().get(1).kill();
 		progress("killed %s", cluster.members().get(1).vm());
-		crashBusyWorker(cluster);
+		busyWorker.ifPresent((vm) -> {
+			cluster.platform().faults().worker(vm).crash();
+			progress("crashed %s, which ran tasks", vm);
+		});
 		Thread.sleep(4_000);
 		cluster.platform().faults().store().startOutage(OutageMode.CLOSES);
 		progress("store outage begins");
@@ -146,29 +172,70 @@
 		int acceptedChanges = operator.raceChanges(path, revision);
 		operator.awaitInForce("/teams/" + DemoNames.TEAM, revision + acceptedChanges);
 		progress("two operators raced, %d won", acceptedChanges);
-		endpointFaults(cluster, 0, 2).leave(false);
+		leaveEndpointInUse(cluster);
 		jobs.submit("proofs", "urgent", 6, "sleep:300ms", 2);
-		progress("an endpoint leaves; urgent tasks submitted");
+		progress("urgent tasks submitted");
 		Thread.sleep(1_500);
 		DemoCluster.Member leaving = cluster.members().get(2);
 		CompletableFuture<Void> burst = urgent.sendBurst(leaving, REQUESTS_DURING_DRAIN);
 		CompletableFuture<Void> drained = leaving.drain();
 		progress("%s drains with %d requests in flight", leaving.vm(), REQUESTS_DURING_DRAIN);
 		Thread.sleep(2_000);
-		this.checks.gracefulStop.check(burst.isDone(), "requests in flight at the drain have no answer");
-		this.checks.gracefulStop.check(drained.isDone(), "the drain did not end");
+		this.checks.gracefulStop.check(await(DRAIN_TIMEOUT, burst::isDone),
+				"requests in flight at the drain have no answer");
+		this.checks.gracefulStop.check(await(DRAIN_TIMEOUT, drained::isDone), "the drain did not end");
+	}
+
+	private static Optional<VmId> awaitBusyWorker(DemoCluster cluster) throws InterruptedException {
+		await(DemoCluster.TAKEOVER_LIMIT, () -> findBusyWorker(cluster).isPresent());
+		return findBusyWorker(cluster);
+	}
+
+	private static Optional<VmId> findBusyWorker(DemoCluster cluster) {
+		return cluster.platform()
+			.records()
+			.taskRuns()
+			.values()
+			.stream()
+			.map((runs) -> runs.get(runs.size() - 1))
+			.filter((run) -> run.until().isEmpty())
+			.map(TaskRun::vm)
+			.findFirst();
+	}
+
+	// An endpoint proves that it gets no more work only if it was in use until then, and
+	// still got work before the list of VMs showed it as leaving.
+	private void leaveEndpointInUse(DemoCluster cluster) throws InterruptedException {
+		for (int index = ENDPOINTS_WITH_FAULTS; index < DemoCluster.ENDPOINTS_PER_ZONE; index++) {
+			for (int zone = 0; zone < DemoNames.ZONES.size(); zone++) {
+				EndpointId endpoint = new EndpointId(DemoNames.ZONES.get(zone) + "-endpoint-" + index);
+				long before = recordOf(cluster, endpoint).runs();
+				if (!await(DemoCluster.LIST_LAG, () -> recordOf(cluster, endpoint).runs() > before)) {
+					continue;
+				}
+				endpointFaults(cluster, zone, index).leave(false);
+				if (await(DemoCluster.LIST_LAG, () -> recordOf(cluster, endpoint).lastWorkAfterLeaving().isPresent())) {
+					progress("%s leaves", endpoint);
+					return;
+				}
+			}
+		}
+		progress("no endpoint was in use when it left");
+	}
+
+	private static EndpointRecord recordOf(DemoCluster cluster, EndpointId endpoint) {
+		return cluster.platform().records().endpoints().get(endpoint);
 	}
 
-	private void crashBusyWorker(DemoCluster cluster) {
-		for (List<TaskRun> runs : cluster.platform().records().taskRuns().values()) {
-			TaskRun last = runs.get(runs.size() - 1);
-			if (last.until().isEmpty()) {
-				cluster.platform().faults().worker(last.vm()).crash();
-				progress("crashed %s, which ran tasks", last.vm());
-				return;
+	private static boolean await(Duration timeout, BooleanSupplier condition) throws InterruptedException {
+		long deadlineNanos = System.nanoTime() + timeout.toNanos();
+		while (!condition.getAsBoolean()) {
+			if (System.nanoTime() >= deadlineNanos) {
+				return false;
 			}
+			Thread.sleep(POLL_INTERVAL_MILLIS);
 		}
-		progress("no worker runs a task, so none was crashed");
+		return true;
 	}
 
 	private io.lentilstream.standin.EndpointFaults endpointFaults(DemoCluster cluster, int zone, int index) {
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoClient.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoClient.java
@@ -19,6 +19,12 @@
  */
 final class DemoClient implements AutoCloseable {
 
+	/**
+	 * Timeout of a whole call, in milliseconds. It exceeds the time within which an entry
+	 * VM answers a call to the owner of a shard.
+	 */
+	static final long CALL_TIMEOUT_MILLIS = 15_000;
+
 	private static final int MAX_CONCURRENT_CALLS = 512;
 
 	private static final byte[] NO_BODY = new byte[0];
@@ -32,7 +38,8 @@
 		this.client = new OkHttpClient.Builder().dispatcher(dispatcher)
 			.retryOnConnectionFailure(false)
 			.connectTimeout(500, TimeUnit.MILLISECONDS)
-			.readTimeout(15, TimeUnit.SECONDS)
+			.readTimeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
+			.callTimeout(CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
 			.build();
 	}
 
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoCluster.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoCluster.java
@@ -23,6 +23,7 @@
 import io.lentilstream.settings.process.HostPort;
 import io.lentilstream.settings.process.LogFormat;
 import io.lentilstream.settings.process.Secret;
+import io.lentilstream.shards.ownership.OwnershipSettings;
 import io.lentilstream.standin.StandinPlatform;
 import io.lentilstream.standin.Topology;
 
@@ -35,7 +36,7 @@
 
 	private static final int ENTRY_VMS_PER_ZONE = 2;
 
-	private static final int ENDPOINTS_PER_ZONE = 4;
+	static final int ENDPOINTS_PER_ZONE = 4;
 
 	private static final int WORKERS_PER_ZONE = 4;
 
@@ -45,6 +46,30 @@
 
 	private static final Duration SERVICE_TIME = Duration.ofMillis(10);
 
+	/**
+	 * Time after which the list of VMs shows a change.
+	 */
+	static final Duration LIST_LAG = Duration.ofMillis(500);
+
+	private static final Duration STORE_LEASE = Duration.ofSeconds(3);
+
+	private static final Duration TASK_LEASE = Duration.ofSeconds(5);
+
+	private static final Duration CLOCK_MARGIN = Duration.ofMillis(500);
+
+	/**
+	 * Time within which a shard has a new owner: the store lease, two lists of the
+	 * records that are due within a lease, and the delay before an entry VM that does not
+	 * acquire the shard is excluded.
+	 */
+	static final Duration TAKEOVER_LIMIT = STORE_LEASE.multipliedBy(2)
+		.plus(OwnershipSettings.defaults().exclusionDelay());
+
+	/**
+	 * Time within which the tasks of a crashed worker may start elsewhere.
+	 */
+	static final Duration TASK_LEASE_LIMIT = TASK_LEASE.plus(CLOCK_MARGIN);
+
 	private final StandinPlatform platform;
 
 	private final List<Member> members = new ArrayList<>();
@@ -54,7 +79,7 @@
 	private final ConcurrentLinkedQueue<Throwable> brokenInvariants = new ConcurrentLinkedQueue<>();
 
 	DemoCluster() throws IOException {
-		Topology topology = Topology.EMPTY.withLags(Duration.ofMillis(500), Duration.ofMillis(500));
+		Topology topology = Topology.EMPTY.withLags(LIST_LAG, Duration.ofMillis(500));
 		List<int[]> ports = new ArrayList<>();
 		for (AvailabilityZoneId zone : DemoNames.ZONES) {
 			for (int i = 0; i < ENTRY_VMS_PER_ZONE; i++) {
@@ -103,8 +128,8 @@
 						Duration.ofMillis(500)),
 				new Secret(DemoNames.PEER_KEY), new Secret(DemoNames.ADMINISTRATOR_KEY),
 				new EntrySettings.Limits(900_000, 8_000_000, 16_000, 1_000_000, 10_000, 4_096, 10_000, 4_096),
-				new EntrySettings.Leases(Duration.ofSeconds(3), Duration.ofSeconds(1), Duration.ofSeconds(5),
-						Duration.ofMillis(500), Duration.ofSeconds(2)),
+				new EntrySettings.Leases(STORE_LEASE, Duration.ofSeconds(1), TASK_LEASE, CLOCK_MARGIN,
+						Duration.ofSeconds(2)),
 				new EntrySettings.Shards(SHARDS_PER_ZONE, REQUEST_SHARDS, Duration.ofMillis(20)), LogFormat.TEXT);
 	}
 
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoJobs.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoJobs.java
@@ -1,25 +1,37 @@
 package io.lentilstream.cli.demo;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Supplier;
 
 /**
  * The jobs of the demonstration: submits them and waits for their completion.
  */
 final class DemoJobs {
 
+	static final int LEDGER_TASKS = 24;
+
+	static final int LEDGER_TASK_MILLIS = 3_000;
+
+	/**
+	 * Tasks that one worker certainly runs at once, beside the capacity that is reserved
+	 * for urgent tasks.
+	 */
+	private static final int MIN_TASKS_PER_WORKER = 3;
+
 	private static final long RETRY_DELAY_MILLIS = 300;
 
-	private final DemoCluster cluster;
+	private final Supplier<String> entryVms;
 
 	private final DemoClient client;
 
 	private final List<String> accepted = new ArrayList<>();
 
-	DemoJobs(DemoCluster cluster, DemoClient client) {
-		this.cluster = cluster;
+	DemoJobs(Supplier<String> entryVms, DemoClient client) {
+		this.entryVms = entryVms;
 		this.client = client;
 	}
 
@@ -29,7 +41,7 @@
 				"memoryMegabytes": 500}]}""".formatted(DemoNames.LEDGER, urgency, program, tasks, cores);
 		for (int attempt = 0; attempt < 40; attempt++) {
 			DemoResponse response = this.client
-				.send("POST", this.cluster.nextBaseUrl() + "/jobs/" + DemoNames.TEAM, Map.of("Idempotency-Key", key),
+				.send("POST", this.entryVms.get() + "/jobs/" + DemoNames.TEAM, Map.of("Idempotency-Key", key),
 						body.getBytes(StandardCharsets.UTF_8))
 				.join();
 			if (response.isAccepted()) {
@@ -41,22 +53,35 @@
 	}
 
 	/**
-	 * Waits until all accepted jobs have ended.
+	 * Returns the run time of the longest job on a shard that is left with one worker.
+	 * @return the time
+	 */
+	static Duration runTimeLimit() {
+		return Duration.ofMillis((long) LEDGER_TASKS / MIN_TASKS_PER_WORKER * LEDGER_TASK_MILLIS);
+	}
+
+	/**
+	 * Waits until all accepted jobs have ended. Each is queried at least once.
 	 * @param deadlineNanos the {@link System#nanoTime()} value at which to give up
 	 * @return the keys of the jobs that have not ended by then
 	 */
 	List<String> awaitCompletion(long deadlineNanos) throws InterruptedException {
 		List<String> unfinished = new ArrayList<>(this.accepted);
+		unfinished.removeIf(this::hasEnded);
 		while (!unfinished.isEmpty() && System.nanoTime() < deadlineNanos) {
-			unfinished.removeIf((job) -> fetchStatus(job).path("ended").asBoolean(false));
 			Thread.sleep(200);
+			unfinished.removeIf(this::hasEnded);
 		}
 		return unfinished;
 	}
 
+	private boolean hasEnded(String job) {
+		return fetchStatus(job).path("ended").asBoolean(false);
+	}
+
 	com.fasterxml.jackson.databind.JsonNode fetchStatus(String job) {
 		return this.client
-			.send("GET", this.cluster.nextBaseUrl() + "/jobs/" + DemoNames.TEAM + "/" + job, Map.of(), new byte[0])
+			.send("GET", this.entryVms.get() + "/jobs/" + DemoNames.TEAM + "/" + job, Map.of(), new byte[0])
 			.join()
 			.json();
 	}
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoPayments.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoPayments.java
@@ -1,15 +1,16 @@
 package io.lentilstream.cli.demo;
 
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Supplier;
 
 /**
  * A load generator for deferrable requests that must run at most once. Every third
@@ -24,7 +25,9 @@
 
 	private static final int DUPLICATE_EVERY = 3;
 
-	private final DemoCluster cluster;
+	private static final long POLL_INTERVAL_MILLIS = 20;
+
+	private final Supplier<String> entryVms;
 
 	private final DemoClient client;
 
@@ -46,8 +49,10 @@
 
 	private final AtomicInteger nextNumber = new AtomicInteger();
 
-	DemoPayments(DemoCluster cluster, DemoClient client, PropertyChecks checks) {
-		this.cluster = cluster;
+	private final AtomicInteger inFlight = new AtomicInteger();
+
+	DemoPayments(Supplier<String> entryVms, DemoClient client, PropertyChecks checks) {
+		this.entryVms = entryVms;
 		this.client = client;
 		this.checks = checks;
 	}
@@ -68,6 +73,7 @@
 
 	private void send(String key, boolean retry) {
 		byte[] body = ("amount of " + key).getBytes(StandardCharsets.UTF_8);
+		this.inFlight.incrementAndGet();
 		this.client.send("POST", url(), Map.of("Idempotency-Key", key), body).thenAccept((response) -> {
 			this.outcomes.computeIfAbsent(response.outcome(), (unused) -> new AtomicInteger()).incrementAndGet();
 			if (response.isAccepted() || response.isOk()) {
@@ -84,34 +90,43 @@
 			if (retry && !response.isNotRun() && !response.isAccepted() && !response.isOk()) {
 				this.timer.schedule(() -> send(key, true), RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
 			}
-		});
+		}).whenComplete((unused, failure) -> this.inFlight.decrementAndGet());
 	}
 
-	void stop() {
+	/**
+	 * Stops sending and waits until each request in flight has an outcome, since a late
+	 * acceptance must be collected too. The timeouts of the client bound the wait.
+	 */
+	void stop() throws InterruptedException {
 		this.timer.shutdownNow();
+		this.timer.awaitTermination(DemoClient.CALL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS);
+		while (this.inFlight.get() > 0) {
+			Thread.sleep(POLL_INTERVAL_MILLIS);
+		}
 	}
 
 	/**
-	 * Polls for the results of all accepted requests.
+	 * Polls for the results of all accepted requests, all of them at once in each round.
 	 * @param deadlineNanos the {@link System#nanoTime()} value at which to give up
 	 */
 	void collectAll(long deadlineNanos) throws InterruptedException {
-		List<String> uncollected = new ArrayList<>(this.accepted);
+		List<String> uncollected = List.copyOf(this.accepted);
 		while (!uncollected.isEmpty() && System.nanoTime() < deadlineNanos) {
-			uncollected.removeIf(this::collect);
+			CompletableFuture.allOf(uncollected.stream().map(this::collect).toArray(CompletableFuture[]::new)).join();
+			uncollected = uncollected.stream().filter((key) -> !this.collected.contains(key)).toList();
 			Thread.sleep(100);
 		}
 	}
 
-	private boolean collect(String key) {
-		DemoResponse response = this.client.send("GET", url() + "/" + key, Map.of(), new byte[0]).join();
-		if (!response.isOk()) {
-			return false;
-		}
-		this.collected.add(key);
-		this.checks.wholeAnswer.check(new String(response.body(), StandardCharsets.UTF_8).equals("amount of " + key),
-				key + " got another body");
-		return true;
+	private CompletableFuture<Void> collect(String key) {
+		return this.client.send("GET", url() + "/" + key, Map.of(), new byte[0]).thenAccept((response) -> {
+			if (response.isOk()) {
+				this.collected.add(key);
+				this.checks.wholeAnswer.check(
+						new String(response.body(), StandardCharsets.UTF_8).equals("amount of " + key),
+						key + " got another body");
+			}
+		});
 	}
 
 	void checkRuns(Map<String, Integer> runs) {
@@ -129,7 +144,7 @@
 	}
 
 	private String url() {
-		return this.cluster.nextBaseUrl() + "/requests/" + DemoNames.TEAM + "/" + DemoNames.PAYMENT;
+		return this.entryVms.get() + "/requests/" + DemoNames.TEAM + "/" + DemoNames.PAYMENT;
 	}
 
 	int acceptedCount() {
--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoUrgentLoad.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoUrgentLoad.java
@@ -24,6 +24,12 @@
 
 	static final long TIMEOUT_MILLIS = 500;
 
+	/**
+	 * Timeout of the requests in flight at a drain, in milliseconds. It is so long that a
+	 * slow endpoint does not end them, but only the drain can.
+	 */
+	static final long DRAIN_TIMEOUT_MILLIS = 10_000;
+
 	private final DemoCluster cluster;
 
 	private final DemoClient client;
@@ -67,11 +73,12 @@
 	CompletableFuture<Void> sendBurst(DemoCluster.Member member, int requests) {
 		List<CompletableFuture<DemoResponse>> responses = new ArrayList<>();
 		for (int i = 0; i < requests; i++) {
-			responses.add(send(member.url(), TIMEOUT_MILLIS, System.nanoTime()));
+			responses.add(send(member.url(), DRAIN_TIMEOUT_MILLIS, System.nanoTime()));
 		}
-		responses.forEach((response) -> response
-			.thenAccept((received) -> this.checks.gracefulStop.check(received.isOk() || received.isNotRun(),
-					"a request in flight at the drain got " + received.outcome())));
+		long startNanos = System.nanoTime();
+		responses.forEach((response) -> response.thenAccept((received) -> this.checks.gracefulStop
+			.check(received.isOk() || received.isNotRun(), "a request in flight at the drain got %s after %d ms"
+				.formatted(received.outcome(), TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos)))));
 		return CompletableFuture.allOf(responses.toArray(CompletableFuture[]::new));
 	}
 
