Collect at most 16 payments of the demo at a time

Cause: the collection of all accepted payments at once, up to 512 calls, may itself keep the entry VMs from running payments on a busy machine.

--- a/cli/src/main/java/io/lentilstream/cli/demo/DemoPayments.java
+++ b/cli/src/main/java/io/lentilstream/cli/demo/DemoPayments.java
@@ -27,6 +27,8 @@
 
 	private static final long POLL_INTERVAL_MILLIS = 20;
 
+	private static final int MAX_COLLECTIONS_IN_FLIGHT = 16;
+
 	private final Supplier<String> entryVms;
 
 	private final DemoClient client;
@@ -106,13 +108,18 @@
 	}
 
 	/**
-	 * Polls for the results of all accepted requests, all of them at once in each round.
+	 * Polls for the results of all accepted requests, several of them at once.
 	 * @param deadlineNanos the {@link System#nanoTime()} value at which to give up
 	 */
 	void collectAll(long deadlineNanos) throws InterruptedException {
 		List<String> uncollected = List.copyOf(this.accepted);
 		while (!uncollected.isEmpty() && System.nanoTime() < deadlineNanos) {
-			CompletableFuture.allOf(uncollected.stream().map(this::collect).toArray(CompletableFuture[]::new)).join();
+			for (int start = 0; start < uncollected.size(); start += MAX_COLLECTIONS_IN_FLIGHT) {
+				int end = Math.min(uncollected.size(), start + MAX_COLLECTIONS_IN_FLIGHT);
+				CompletableFuture.allOf(
+						uncollected.subList(start, end).stream().map(this::collect).toArray(CompletableFuture[]::new))
+					.join();
+			}
 			uncollected = uncollected.stream().filter((key) -> !this.collected.contains(key)).toList();
 			Thread.sleep(100);
 		}
