Learn run times of queues whose callers estimate wrongly

Cause: latest starts and objectives follow from callers' estimates, and the callers of some queues err by a multiple.

The end of each step whose runs were measured (confirmed start to end, at full speed near the data) updates a regression of the logarithm of run times on that of estimates, by queue and by image and size.

--- a/jobs/src/main/java/io/lentilstream/jobs/runtime/RunTimePredictor.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/runtime/RunTimePredictor.java
@@ -19,6 +19,16 @@
 	 */
 	RunTimePrediction predict(String queue, StepSpec step);
 
+	/**
+	 * Predicts the length of a step without waits, which ends with its slowest task.
+	 * @param queue the queue of its job
+	 * @param step the step
+	 * @return the time in milliseconds
+	 */
+	default long predictStepMillis(String queue, StepSpec step) {
+		return predict(queue, step).medianMillis();
+	}
+
 	/**
 	 * Returns a predictor that trusts the estimates of callers.
 	 * @return the predictor
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
@@ -172,7 +172,7 @@
 		}
 		run.speedChangeInFlight = true;
 		int previousPercent = run.speedPercent;
-		run.speedPercent = percent;
+		run.changeSpeed(percent, this.state.now());
 		this.state.log.append("run-paced", run.task.name, "worker", run.worker, "percent", percent, "was",
 				previousPercent);
 		this.state.commands.setSpeed(run.worker.listing, run.task.name, run.number, percent,
@@ -187,7 +187,7 @@
 		}
 		if (!(result instanceof CommandResult.Done)) {
 			// The next report triggers another attempt.
-			run.speedPercent = previousPercent;
+			run.changeSpeed(previousPercent, this.state.now());
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -10,6 +10,8 @@
 import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.jobs.StoredSuspicion;
+import io.lentilstream.jobs.runtime.CriticalPath;
+import io.lentilstream.jobs.runtime.RunTimePredictor;
 import io.lentilstream.model.JobId;
 
 /**
@@ -17,9 +19,6 @@
  */
 final class Job {
 
-	/** The assumed run time of a task without an estimate, in milliseconds. */
-	private static final long DEFAULT_ESTIMATE_MILLIS = 1000;
-
 	final JobSubmission submission;
 
 	QueuePolicy policy;
@@ -58,28 +57,42 @@
 
 	int nextOccurrence;
 
-	/**
-	 * For each step, the estimated length of the longest dependency path up to and
-	 * including it, in milliseconds.
-	 */
-	private final long[] pathMillis;
+	private final RunTimePredictor runTimes;
+
+	/** The critical path as predicted when the job became known, in milliseconds. */
+	final long firstPredictionMillis;
 
-	private long criticalPathMillis;
+	private CriticalPath criticalPath;
 
 	Job(JobSubmission submission, long now) {
+		this(submission, now, RunTimePredictor.callersEstimates());
+	}
+
+	Job(JobSubmission submission, long now, RunTimePredictor runTimes) {
 		this.submission = submission;
 		this.policy = submission.policy();
 		this.knownSince = now;
-		this.pathMillis = new long[submission.steps().size()];
-		for (int number = 0; number < this.pathMillis.length; number++) {
-			StepSpec step = submission.steps().get(number);
-			long precedingMillis = 0;
-			for (int dependency : step.dependsOn()) {
-				precedingMillis = Math.max(precedingMillis, this.pathMillis[dependency]);
-			}
-			this.pathMillis[number] = precedingMillis + estimate(step);
-			this.criticalPathMillis = Math.max(this.criticalPathMillis, this.pathMillis[number]);
-		}
+		this.runTimes = runTimes;
+		this.criticalPath = new CriticalPath(submission.steps(), this::predictStepMillis);
+		this.firstPredictionMillis = this.criticalPath.totalMillis();
+	}
+
+	private long predictStepMillis(int number) {
+		return this.runTimes.predictStepMillis(this.submission.queue(), this.submission.steps().get(number));
+	}
+
+	/**
+	 * Predicts the critical path again, from what has been learned meanwhile.
+	 * @param steps the steps of an occurrence, of which those that are done have known
+	 * lengths
+	 */
+	void updateCriticalPath(List<StepState> steps) {
+		this.criticalPath = new CriticalPath(this.submission.steps(), (number) -> {
+			StepState step = steps.get(number);
+			boolean learned = this.runTimes.predict(this.submission.queue(), step.spec).samples() > 0;
+			long known = (learned && step.complete()) ? step.longestRunMillis() : 0;
+			return (known > 0) ? known : predictStepMillis(number);
+		});
 	}
 
 	/**
@@ -89,8 +102,8 @@
 	 * @return the time in milliseconds
 	 */
 	long latestStart(int number, long earliestStart) {
-		long precedingMillis = this.pathMillis[number] - estimate(this.submission.steps().get(number));
-		return earliestStart + objectiveMillis() - (this.criticalPathMillis - precedingMillis);
+		long remainingMillis = this.criticalPath.totalMillis() - this.criticalPath.precedingMillis(number);
+		return earliestStart + objectiveMillis() - remainingMillis;
 	}
 
 	/**
@@ -98,11 +111,7 @@
 	 * @return the time in milliseconds
 	 */
 	long objectiveMillis() {
-		return (long) (this.policy.stretch() * this.criticalPathMillis) + this.policy.objectiveMillis();
-	}
-
-	private static long estimate(StepSpec step) {
-		return (step.estimateMillis() > 0) ? step.estimateMillis() : DEFAULT_ESTIMATE_MILLIS;
+		return (long) (this.policy.stretch() * this.criticalPath.totalMillis()) + this.policy.objectiveMillis();
 	}
 
 	JobId id() {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
@@ -74,6 +74,7 @@
 				continue;
 			}
 			step.released = true;
+			job.updateCriticalPath(steps);
 			if (step.spec.traits().longRunning()) {
 				this.state.firstStartDebouncer.stepReleased(now);
 			}
@@ -94,6 +95,7 @@
 			releaseReadySteps(job, occurrence, now);
 			return;
 		}
+		this.state.runTimes.recordOccurrenceCompleted(job, steps);
 		job.occurrences.remove(occurrence);
 		this.timesLogger.log(job, steps, JobState.COMPLETED, now);
 		job.completedOccurrences.add(occurrence);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -106,7 +106,7 @@
 	 */
 	public void load(JobSubmission submission, Optional<JobProgress> progress) {
 		long now = this.state.now();
-		Job job = new Job(submission, now);
+		Job job = new Job(submission, now, this.state.runTimes.predictor());
 		job.loadedAtTakeover = true;
 		this.state.jobs.put(job.id(), job);
 		progress.ifPresent((stored) -> restoreProgress(job, stored));
@@ -208,7 +208,7 @@
 			return;
 		}
 		long now = this.state.now();
-		Job job = new Job(submission, now);
+		Job job = new Job(submission, now, this.state.runTimes.predictor());
 		this.state.jobs.put(job.id(), job);
 		this.state.log.append("job-learnt", job.id(), "queue", submission.queue(), "steps", submission.steps().size(),
 				"waiting", this.state.waiting.size());
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -7,6 +7,8 @@
  */
 final class Run {
 
+	private static final int FULL_SPEED = 100;
+
 	final Task task;
 
 	final int number;
@@ -46,10 +48,22 @@
 	long lastOverTargetAt = Long.MIN_VALUE / 2;
 
 	/** The share of the full speed to which the run is limited, in percent. */
-	int speedPercent = 100;
+	int speedPercent = FULL_SPEED;
 
 	boolean speedChangeInFlight;
 
+	/** The work done before the speed last changed, in milliseconds at full speed. */
+	private long workedMillis;
+
+	/** When the speed last changed, in milliseconds. */
+	private long speedSince;
+
+	/**
+	 * Whether it is known when the run started and that it did so from the beginning of
+	 * its task.
+	 */
+	boolean measured;
+
 	Run(Task task, int number, Worker worker, long now) {
 		this.task = task;
 		this.number = number;
@@ -62,6 +76,27 @@
 	void enterPhase(Phase next, long now) {
 		this.phase = next;
 		this.phaseSince = now;
+		this.speedSince = now;
+		this.measured &= next != Phase.UNSURE;
+	}
+
+	void changeSpeed(int percent, long now) {
+		this.workedMillis += workSinceSpeedChange(now);
+		this.speedSince = now;
+		this.speedPercent = percent;
+	}
+
+	/**
+	 * Returns the work done since the VM confirmed the run.
+	 * @param now the current time in milliseconds
+	 * @return the time in milliseconds that it takes at full speed
+	 */
+	long workedMillis(long now) {
+		return this.workedMillis + workSinceSpeedChange(now);
+	}
+
+	private long workSinceSpeedChange(long now) {
+		return (now - this.speedSince) * this.speedPercent / FULL_SPEED;
 	}
 
 	RunKey key() {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
@@ -57,6 +57,7 @@
 		this.circuitBreaker.recordOutcome(worker, outcome, now);
 		this.reliability.recordEnd(task, worker, outcome, now);
 		if (outcome == RunOutcome.DONE && !task.spec().traits().longRunning()) {
+			this.state.runTimes.recordDone(task, run, now);
 			completeTask(task, now);
 			return;
 		}
@@ -110,6 +111,7 @@
 		}
 		this.state.markChanged(task.job);
 		if (task.step.complete()) {
+			this.state.runTimes.recordStepCompleted(task.step, task.job);
 			this.progression.handleStepCompleted(task.job, task.step.occurrence, now);
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
@@ -35,6 +35,7 @@
 	void start(Task task, Worker worker, int number, long now) {
 		this.state.waiting.remove(task);
 		Run run = new Run(task, number, worker, now);
+		run.measured = task.checkpoint.isEmpty();
 		task.lastRun = number;
 		task.suspicion.forgetPredecessorsPlan();
 		task.runs.add(run);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -29,6 +29,8 @@
 
 	final LeadershipLease leadershipLease;
 
+	final RunTimeRecorder runTimes;
+
 	final Map<JobId, Job> jobs = new LinkedHashMap<>();
 
 	final Map<WorkerId, Worker> workers = new LinkedHashMap<>();
@@ -65,6 +67,7 @@
 		this.log = log;
 		this.clock = clock;
 		this.leadershipLease = leadershipLease;
+		this.runTimes = new RunTimeRecorder(settings, log);
 	}
 
 	long now() {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
@@ -34,11 +34,32 @@
 		}
 	}
 
+	/** The measured run times of tasks, in milliseconds at full speed near their data. */
+	private final List<Long> runMillis = new ArrayList<>();
+
 	/**
 	 * Whether no predecessor can have started tasks of the steps that depend on this one.
 	 */
 	boolean dependentsRuledOut;
 
+	void addRunMillis(long millis) {
+		this.runMillis.add(millis);
+	}
+
+	long[] runMillis() {
+		return this.runMillis.stream().mapToLong(Long::longValue).toArray();
+	}
+
+	/**
+	 * Returns the longest measured run time. The members of a gang end together.
+	 * @return the time in milliseconds; 0 if a task was not measured
+	 */
+	long longestRunMillis() {
+		int needed = this.spec.traits().gang() ? 1 : this.tasks.size();
+		return (this.runMillis.size() < needed) ? 0
+				: this.runMillis.stream().mapToLong(Long::longValue).max().orElse(0);
+	}
+
 	boolean complete() {
 		return this.done == this.tasks.size();
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StragglerDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StragglerDetector.java
@@ -4,11 +4,12 @@
 import java.util.List;
 
 import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.jobs.runtime.RunTimePrediction;
 
 /**
- * Detects runs that make no progress or take far longer than estimated. A speculative
- * task gets a copy on another VM; any other task outside a gang restarts elsewhere if its
- * run makes no progress. Load pattern: VMs that accept work and report to be healthy, but
+ * Detects runs that make no progress or take far longer than expected. A speculative task
+ * gets a copy on another VM; any other task outside a gang restarts elsewhere if its run
+ * makes no progress. Load pattern: VMs that accept work and report to be healthy, but
  * make no progress.
  */
 final class StragglerDetector {
@@ -18,7 +19,7 @@
 	 */
 	private static final long STALLED_MILLIS = 2500;
 
-	/** The multiple of its estimate after which a run gets a copy. */
+	/** The multiple of its caller's estimate after which a run gets a copy. */
 	private static final double COPY_FACTOR = 2.0;
 
 	/** The minimum run time before a copy, in milliseconds. */
@@ -68,7 +69,7 @@
 		boolean stalled = !working && run.speedPercent > 0
 				&& now - Math.max(run.progressedAt, run.phaseSince) > STALLED_MILLIS;
 		if (spec.traits().speculative() && run.task.runs.size() == 1) {
-			boolean slow = now - run.phaseSince > Math.max(MIN_COPY_AFTER_MILLIS, COPY_FACTOR * spec.estimateMillis());
+			boolean slow = now - run.phaseSince > Math.max(MIN_COPY_AFTER_MILLIS, longestSoundMillis(run.task));
 			if ((stalled || slow) && run.task.suspicion.none()) {
 				startCopy(run, now);
 			}
@@ -82,6 +83,12 @@
 		}
 	}
 
+	private double longestSoundMillis(Task task) {
+		RunTimePrediction prediction = this.state.runTimes.predictor()
+			.predict(task.job.submission.queue(), task.spec());
+		return (prediction.samples() > 0) ? prediction.highMillis() : COPY_FACTOR * task.spec().estimateMillis();
+	}
+
 	private void startCopy(Run run, long now) {
 		Collection<Worker> candidates = this.state.workers.values();
 		run.task.failedOn = run.worker.id();
