Hand over all of a leader's knowledge at one place

A successor got only the sensitivities of images, every 4 s and without the weight of their observations: a few reports during a peak replaced them, the latency of each serving image without best-effort tasks was learned anew, and it knew neither which VMs were over their target since when, nor which were avoided, nor that an adopted task was paused.

JobScheduler.carriedKnowledge lists what a leader hands over. WorkerConditions hands over times over target and avoided VMs. The speed of an adopted best-effort run is inferred from its reported use, and the throttle sends a speed as soon as it decides on one.

--- a/control/src/main/java/io/lentilstream/control/term/JobKeys.java
+++ b/control/src/main/java/io/lentilstream/control/term/JobKeys.java
@@ -24,7 +24,10 @@
 	/** Key of the list of VMs to which the leader may have sent commands. */
 	public static final String WORKERS = "lentilstream/workers";
 
-	/** Key of the learnt interference between images. */
+	/** Prefix of what a leader has learned and hands over to its successor. */
+	public static final String KNOWLEDGE = "lentilstream/learned/";
+
+	/** Key under which earlier versions store the learned interference. */
 	public static final String INTERFERENCE = "lentilstream/interference";
 
 	private JobKeys() {
@@ -57,6 +60,10 @@
 		return PROGRESS + id;
 	}
 
+	static String knowledge(String name) {
+		return KNOWLEDGE + name;
+	}
+
 	static Optional<JobId> parseJobId(String prefix, String key) {
 		return key.startsWith(prefix) ? Optional.of(new JobId(key.substring(prefix.length()))) : Optional.empty();
 	}
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -19,14 +19,12 @@
 import io.lentilstream.control.store.StoreReply;
 import io.lentilstream.control.store.StoredItem;
 import io.lentilstream.jobs.DecisionLog;
-import io.lentilstream.jobs.InterferenceSnapshot;
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
 import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.WorkerListing;
 import io.lentilstream.jobs.codec.DecodeException;
-import io.lentilstream.jobs.codec.InterferenceCodec;
 import io.lentilstream.jobs.codec.ProgressCodec;
 import io.lentilstream.jobs.codec.SubmissionCodec;
 import io.lentilstream.jobs.scheduling.JobScheduler;
@@ -53,11 +51,6 @@
 
 	private static final long RETRY_DELAY_MILLIS = 200;
 
-	/**
-	 * Time between two snapshots of interference between images, in milliseconds.
-	 */
-	private static final long SNAPSHOT_INTERVAL_MILLIS = 4000;
-
 	/** Maximum number of jobs deleted in one commit; each has three items. */
 	private static final int JOBS_PER_CLEANUP = 10;
 
@@ -83,6 +76,8 @@
 
 	private final WorkerRegistry registry;
 
+	private final CarriedKnowledgeStore knowledge;
+
 	private final PrefixWatcher intake;
 
 	private final PrefixWatcher workerList;
@@ -142,6 +137,7 @@
 		this.progressWriter = new ProgressWriter(this.loop, this.store, this.scheduler, this.fencingToken, onSuperseded,
 				this::tickSoon);
 		this.registry = new WorkerRegistry(this.loop, this.store, this.scheduler, this.fencingToken, onSuperseded);
+		this.knowledge = new CarriedKnowledgeStore(dependencies, this.fencingToken, this.scheduler.carriedKnowledge());
 		this.intake = new PrefixWatcher(this.loop, this.store, this.log, JobKeys.INTAKE, INTAKE_TIMING,
 				new IntakeListener());
 		this.workerList = new PrefixWatcher(this.loop, this.store, this.log, platform.workerListPrefix(),
@@ -162,7 +158,7 @@
 		RangeReader.readAll(this.store, JobKeys.INTAKE, initialState::intakeRead);
 		RangeReader.readAll(this.store, JobKeys.PROGRESS, initialState::progressRead);
 		this.store.read(JobKeys.WORKERS, initialState::workersRead);
-		this.store.read(JobKeys.INTERFERENCE, initialState::interferenceRead);
+		this.knowledge.read(initialState::knowledgeRead);
 	}
 
 	/**
@@ -182,6 +178,7 @@
 		this.workerList.stop();
 		this.progressWriter.stop();
 		this.registry.stop();
+		this.knowledge.stop();
 		this.commandClient.close();
 	}
 
@@ -296,7 +293,7 @@
 						(ex) -> this.log.append("workers-unreadable", JobKeys.WORKERS, "error", ex))
 				: List.of();
 		this.registry.initialize(initialState.workers, predecessorWorkers);
-		restoreInterference(initialState.interference);
+		this.knowledge.restore();
 		this.loaded = true;
 		this.scheduler.updatePolicies(this.policies);
 		if (!this.evacuatedZones.isEmpty()) {
@@ -311,38 +308,7 @@
 		tickPeriodically();
 		checkPeriodically();
 		deleteEndedJobs();
-		this.loop.schedule(SNAPSHOT_INTERVAL_MILLIS, this::storeInterference);
-	}
-
-	private void restoreInterference(StoredItem item) {
-		if (!item.exists()) {
-			return;
-		}
-		try {
-			this.scheduler.restoreInterference(InterferenceCodec.decode(item.value()));
-		}
-		catch (DecodeException ex) {
-			this.log.append("interference-unreadable", item.key(), "error", ex);
-		}
-	}
-
-	private void storeInterference() {
-		if (this.stopped) {
-			return;
-		}
-		this.loop.schedule(SNAPSHOT_INTERVAL_MILLIS, this::storeInterference);
-		InterferenceSnapshot known = this.scheduler.interferenceSnapshot();
-		if (known.pairs().isEmpty()) {
-			return;
-		}
-		Commit commit = new Commit().require(Leadership.LEADER_KEY, this.fencingToken)
-			.write(JobKeys.INTERFERENCE, InterferenceCodec.encode(known), 0);
-		this.store.commit(commit, (reply) -> {
-			if (!(reply instanceof StoreReply.Ok<Long>)) {
-				// No retry is needed, since the next snapshot replaces this one.
-				this.log.append("interference-not-stored", this.fencingToken, "reply", reply);
-			}
-		});
+		this.knowledge.storePeriodically();
 	}
 
 	private void load(JobId job, StoredItem submission, StoredItem progress) {
@@ -440,7 +406,7 @@
 
 		private StoredItem workers;
 
-		private StoredItem interference;
+		private boolean knowledgeRead;
 
 		private boolean failed;
 
@@ -465,11 +431,9 @@
 			readCompleted(reply);
 		}
 
-		void interferenceRead(StoreReply<StoredItem> reply) {
-			if (reply instanceof StoreReply.Ok<StoredItem> item) {
-				this.interference = item.value();
-			}
-			readCompleted(reply);
+		void knowledgeRead() {
+			this.knowledgeRead = true;
+			startIfComplete();
 		}
 
 		private void readCompleted(StoreReply<?> reply) {
@@ -482,7 +446,14 @@
 				Term.this.loop.schedule(RETRY_DELAY_MILLIS, Term.this::start);
 				return;
 			}
-			if (this.intake != null && this.progress != null && this.workers != null && this.interference != null) {
+			startIfComplete();
+		}
+
+		private void startIfComplete() {
+			if (Term.this.stopped || this.failed) {
+				return;
+			}
+			if (this.intake != null && this.progress != null && this.workers != null && this.knowledgeRead) {
 				startScheduling(this);
 			}
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/codec/DecodeException.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/DecodeException.java
@@ -7,7 +7,12 @@
 
 	private static final long serialVersionUID = 1;
 
-	DecodeException(String message, Throwable cause) {
+	/**
+	 * Creates an exception.
+	 * @param message what could not be decoded
+	 * @param cause the cause
+	 */
+	public DecodeException(String message, Throwable cause) {
 		super(message, cause);
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
@@ -103,7 +103,7 @@
 		}
 		else {
 			bestEffortRuns.stream()
-				.filter((run) -> run.speedPercent < FULL_SPEED)
+				.filter((run) -> run.speedPercent < FULL_SPEED || !run.speedConfirmed)
 				.forEach((run) -> speedUp(run, servingRuns));
 		}
 	}
@@ -167,7 +167,7 @@
 	}
 
 	private void setSpeed(Run run, int percent) {
-		if (percent == run.speedPercent || run.speedChangeInFlight) {
+		if ((percent == run.speedPercent && run.speedConfirmed) || run.speedChangeInFlight) {
 			return;
 		}
 		run.speedChangeInFlight = true;
@@ -185,7 +185,10 @@
 		if (result instanceof CommandResult.Refused refused && refused.reason() == CommandResult.Refusal.FENCED) {
 			this.state.fenced = true;
 		}
-		if (!(result instanceof CommandResult.Done)) {
+		if (result instanceof CommandResult.Done) {
+			run.speedConfirmed = true;
+		}
+		else {
 			// The next report triggers another attempt.
 			run.speedPercent = previousPercent;
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
@@ -1,6 +1,7 @@
 package io.lentilstream.jobs.scheduling;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -42,6 +43,9 @@
 	 */
 	private static final double MIN_RATIO = 0.02;
 
+	/** The largest number of pairs in a snapshot, which bounds its size. */
+	private static final int MAX_SNAPSHOT_PAIRS = 1000;
+
 	private final Map<String, Integer> bestEffortImages = new HashMap<>();
 
 	private final Map<String, ServingImageModel> servingImages = new HashMap<>();
@@ -53,7 +57,7 @@
 	 * @param shares the shares of the VM that best-effort tasks used meanwhile, by image
 	 */
 	void observe(String image, double ratio, Map<String, Double> shares) {
-		ServingImageModel model = this.servingImages.computeIfAbsent(image, (key) -> new ServingImageModel());
+		ServingImageModel model = modelOf(image);
 		for (String bestEffortImage : shares.keySet()) {
 			this.bestEffortImages.putIfAbsent(bestEffortImage, this.bestEffortImages.size());
 		}
@@ -90,31 +94,49 @@
 
 	/**
 	 * Returns a snapshot of the learned sensitivities.
-	 * @return all pairs of known serving and best-effort images
+	 * @return the known serving images and their pairs with best-effort images; at most
+	 * {@value #MAX_SNAPSHOT_PAIRS} pairs, those with most observations
 	 */
 	InterferenceSnapshot snapshot() {
+		List<InterferenceSnapshot.Base> bases = new ArrayList<>();
 		List<InterferenceSnapshot.Pair> pairs = new ArrayList<>();
-		for (String servingImage : this.servingImages.keySet()) {
-			for (String bestEffortImage : this.bestEffortImages.keySet()) {
-				pairs.add(new InterferenceSnapshot.Pair(servingImage, bestEffortImage,
-						sensitivity(servingImage, bestEffortImage)));
-			}
-		}
-		return new InterferenceSnapshot(pairs);
+		this.servingImages.forEach((servingImage, model) -> {
+			bases.add(new InterferenceSnapshot.Base(servingImage, model.base));
+			double[] weights = model.regression.weights(this.bestEffortImages.size());
+			this.bestEffortImages
+				.forEach((bestEffortImage, index) -> pairs.add(new InterferenceSnapshot.Pair(servingImage,
+						bestEffortImage, model.regression.coefficient(index), weights[index])));
+		});
+		pairs.sort(Comparator.comparingDouble((InterferenceSnapshot.Pair pair) -> -pair.weight()));
+		return new InterferenceSnapshot(bases, pairs.subList(0, Math.min(MAX_SNAPSHOT_PAIRS, pairs.size())));
 	}
 
 	/**
-	 * Uses the sensitivities that a predecessor learned as priors.
+	 * Continues with what a predecessor learned. Sensitivities of unknown weight become
+	 * priors.
 	 * @param snapshot the snapshot of the predecessor
 	 */
 	void restore(InterferenceSnapshot snapshot) {
+		for (InterferenceSnapshot.Base base : snapshot.bases()) {
+			modelOf(base.servingImage()).base = base.logRatio();
+		}
 		for (InterferenceSnapshot.Pair pair : snapshot.pairs()) {
 			this.bestEffortImages.putIfAbsent(pair.bestEffortImage(), this.bestEffortImages.size());
-			this.servingImages.computeIfAbsent(pair.servingImage(), (key) -> new ServingImageModel()).regression
-				.setPrior(this.bestEffortImages.get(pair.bestEffortImage()), pair.sensitivity());
+			int index = this.bestEffortImages.get(pair.bestEffortImage());
+			RidgeRegression regression = modelOf(pair.servingImage()).regression;
+			if (pair.weight() > 0) {
+				regression.restore(index, pair.sensitivity(), pair.weight());
+			}
+			else {
+				regression.setPrior(index, pair.sensitivity());
+			}
 		}
 	}
 
+	private ServingImageModel modelOf(String image) {
+		return this.servingImages.computeIfAbsent(image, (key) -> new ServingImageModel());
+	}
+
 	static double logRatio(double ratio) {
 		return Math.log(Math.max(MIN_RATIO, ratio));
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -11,7 +11,6 @@
 import java.util.function.LongSupplier;
 
 import io.lentilstream.jobs.DecisionLog;
-import io.lentilstream.jobs.InterferenceSnapshot;
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
@@ -19,6 +18,7 @@
 import io.lentilstream.jobs.WorkerCommands;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.carryover.CarriedKnowledge;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.JobId;
 
@@ -28,7 +28,7 @@
  */
 public final class JobScheduler {
 
-	private final SchedulerState state;
+	final SchedulerState state;
 
 	private final JobProgression progression;
 
@@ -52,6 +52,8 @@
 
 	private final UtilizationTracker utilization;
 
+	private final WorkerConditions workerConditions;
+
 	private final InterferenceModel interference = new InterferenceModel();
 
 	private final TakeoverTracker takeover;
@@ -73,6 +75,7 @@
 			LongSupplier timeOfDay, LeadershipLease leadershipLease) {
 		this.state = new SchedulerState(settings, commands, log, clock, leadershipLease);
 		this.takeover = new TakeoverTracker(this.state);
+		this.workerConditions = new WorkerConditions(this.state);
 		this.zoneEvacuation = new ZoneEvacuation(log);
 		this.runStopper = new RunStopper(this.state);
 		this.progression = new JobProgression(this.state, this.runStopper, timeOfDay);
@@ -90,7 +93,7 @@
 		SuspectStarter suspectStarter = new SuspectStarter(this.state, workerSelector, runStarter);
 		this.reportHandler = new ReportHandler(this.state, runStarter, this.runEndHandler, this.runStopper,
 				this.takeover, new BestEffortThrottle(this.state, forecast), this.crashDetector, crashAttribution,
-				suspectStarter);
+				suspectStarter, this.workerConditions);
 		this.reportPoller = new ReportPoller(this.state, this.reportHandler, this.runEndHandler, this.crashDetector);
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
 				workerSelector, reliability);
@@ -165,19 +168,12 @@
 	}
 
 	/**
-	 * Restores the interference between images that a predecessor learned.
-	 * @param snapshot the snapshot of the predecessor
-	 */
-	public void restoreInterference(InterferenceSnapshot snapshot) {
-		this.interference.restore(snapshot);
-	}
-
-	/**
-	 * Returns the learned interference between images.
-	 * @return a snapshot for a successor
+	 * Returns all knowledge that this scheduler hands over to its successor. To be
+	 * restored before {@link #start}.
+	 * @return the kinds of knowledge
 	 */
-	public InterferenceSnapshot interferenceSnapshot() {
-		return this.interference.snapshot();
+	public List<CarriedKnowledge> carriedKnowledge() {
+		return List.of(new InterferenceKnowledge(this.interference), this.workerConditions);
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -29,9 +29,11 @@
 
 	private final SuspectStarter suspectStarter;
 
+	private final WorkerConditions workerConditions;
+
 	ReportHandler(SchedulerState state, RunStarter runStarter, RunEndHandler runEndHandler, RunStopper runStopper,
 			TakeoverTracker takeover, BestEffortThrottle throttle, CrashDetector crashDetector,
-			CrashAttribution crashAttribution, SuspectStarter suspectStarter) {
+			CrashAttribution crashAttribution, SuspectStarter suspectStarter, WorkerConditions workerConditions) {
 		this.state = state;
 		this.runStarter = runStarter;
 		this.runEndHandler = runEndHandler;
@@ -41,6 +43,7 @@
 		this.crashDetector = crashDetector;
 		this.crashAttribution = crashAttribution;
 		this.suspectStarter = suspectStarter;
+		this.workerConditions = workerConditions;
 	}
 
 	/**
@@ -58,6 +61,7 @@
 			this.state.log.append("worker-opened", worker, "running", report.running().size(), "ended",
 					report.ended().size());
 			this.crashDetector.firstReportReceived(worker);
+			this.workerConditions.apply(worker);
 		}
 		for (TaskReport.Ended end : report.ended()) {
 			if (end.number() > worker.lastEndNumber) {
@@ -163,6 +167,7 @@
 			return null;
 		}
 		Run run = new Run(task, reported.run(), worker, now);
+		AdoptedSpeed.infer(run, reported.measurement());
 		boolean needed = task.job.active() && !task.done && task.step.released
 				&& (task.runs.isEmpty() || task.spec().traits().speculative());
 		task.lastRun = Math.max(task.lastRun, reported.run());
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RidgeRegression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RidgeRegression.java
@@ -57,7 +57,7 @@
 	double coefficient(int index) {
 		if (this.stale) {
 			this.stale = false;
-			solve();
+			this.coefficients = solve();
 		}
 		return (index < this.coefficients.length) ? this.coefficients[index] : priorOf(index);
 	}
@@ -77,6 +77,41 @@
 		this.stale = true;
 	}
 
+	/**
+	 * Returns how certain each coefficient is, as the sum of squared inputs that would
+	 * give the same certainty if no other input varied with this one.
+	 * @param size the number of coefficients
+	 * @return the weights of the observations, including that of the prior
+	 */
+	double[] weights(int size) {
+		double[] weights = new double[size];
+		Arrays.fill(weights, this.priorWeight);
+		int known = Math.min(size, this.products.length);
+		double[][] identity = new double[this.products.length][this.products.length];
+		for (int row = 0; row < identity.length; row++) {
+			identity[row][row] = 1;
+		}
+		double[][] inverse = solve(identity);
+		for (int index = 0; index < known; index++) {
+			weights[index] = 1 / inverse[index][index];
+		}
+		return weights;
+	}
+
+	/**
+	 * Replaces the observations of one coefficient by the result of earlier ones.
+	 * @param index the index of the coefficient
+	 * @param value the value of the coefficient
+	 * @param weight its weight, as returned by {@link #weights}
+	 */
+	void restore(int index, double value, double weight) {
+		resize(index + 1);
+		double observed = Math.max(0, weight - this.priorWeight);
+		this.squares[index][index] = observed;
+		this.products[index] = (observed + this.priorWeight) * value - this.priorWeight * priorOf(index);
+		this.stale = true;
+	}
+
 	private double priorOf(int index) {
 		return (index < this.priors.length) ? this.priors[index] : this.prior;
 	}
@@ -93,30 +128,47 @@
 		this.squares = larger;
 	}
 
-	// Gaussian elimination; the prior keeps the matrix positive definite.
-	private void solve() {
+	private double[] solve() {
+		double[][] outputs = new double[this.products.length][1];
+		for (int row = 0; row < outputs.length; row++) {
+			outputs[row][0] = this.products[row] + this.priorWeight * priorOf(row);
+		}
+		double[][] solution = solve(outputs);
+		return Arrays.stream(solution).mapToDouble((row) -> row[0]).toArray();
+	}
+
+	// Gaussian elimination with one column of outputs per system; the prior keeps the
+	// matrix positive definite.
+	private double[][] solve(double[][] outputs) {
 		int size = this.products.length;
-		double[][] rows = new double[size][size + 1];
+		double[][] rows = new double[size][];
+		double[][] solution = new double[size][];
 		for (int row = 0; row < size; row++) {
-			System.arraycopy(this.squares[row], 0, rows[row], 0, size);
+			rows[row] = this.squares[row].clone();
 			rows[row][row] += this.priorWeight;
-			rows[row][size] = this.products[row] + this.priorWeight * priorOf(row);
+			solution[row] = outputs[row].clone();
 		}
 		for (int pivot = 0; pivot < size; pivot++) {
 			for (int row = pivot + 1; row < size; row++) {
 				double factor = rows[row][pivot] / rows[pivot][pivot];
-				for (int column = pivot; column <= size; column++) {
-					rows[row][column] -= factor * rows[pivot][column];
-				}
+				subtract(rows[row], factor, rows[pivot], pivot);
+				subtract(solution[row], factor, solution[pivot], 0);
 			}
 		}
-		this.coefficients = new double[size];
 		for (int row = size - 1; row >= 0; row--) {
-			double remainder = rows[row][size];
 			for (int column = row + 1; column < size; column++) {
-				remainder -= rows[row][column] * this.coefficients[column];
+				subtract(solution[row], rows[row][column], solution[column], 0);
 			}
-			this.coefficients[row] = remainder / rows[row][row];
+			for (int column = 0; column < solution[row].length; column++) {
+				solution[row][column] /= rows[row][row];
+			}
+		}
+		return solution;
+	}
+
+	private static void subtract(double[] target, double factor, double[] values, int from) {
+		for (int column = from; column < target.length; column++) {
+			target[column] -= factor * values[column];
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -48,6 +48,12 @@
 	/** The share of the full speed to which the run is limited, in percent. */
 	int speedPercent = 100;
 
+	/**
+	 * Whether the speed was set by this scheduler or is that of a start; otherwise it is
+	 * inferred.
+	 */
+	boolean speedConfirmed = true;
+
 	boolean speedChangeInFlight;
 
 	Run(Task task, int number, Worker worker, long now) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -10,6 +10,7 @@
 
 import io.lentilstream.jobs.CommandResult;
 import io.lentilstream.jobs.RunOutcome;
+import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.jobs.TaskName;
 import io.lentilstream.jobs.TaskReport;
 import io.lentilstream.jobs.WorkerCommands;
@@ -69,6 +70,12 @@
 	/** Whether tasks make no progress. */
 	boolean hanging;
 
+	/** The tail latency of all serving tasks, in milliseconds. */
+	double tail;
+
+	/** The speeds of the running tasks that were changed, in percent. */
+	final Map<TaskName, Integer> speeds = new HashMap<>();
+
 	private long fencingToken;
 
 	private long leaseEnd;
@@ -238,12 +245,30 @@
 			return acknowledged;
 		});
 		List<TaskReport.Running> runningTasks = new ArrayList<>();
-		this.running
-			.forEach((task, run) -> runningTasks.add(new TaskReport.Running(task, run, "", percentOf(task), 0)));
+		this.running.forEach((task, run) -> runningTasks
+			.add(new TaskReport.Running(task, run, "", percentOf(task), measurementOf(task))));
 		return new WorkerCommands.ReportResult.Reported(
 				new TaskReport(this.incarnationStartMillis, clockMillis(), runningTasks, List.copyOf(this.ended)));
 	}
 
+	CommandResult setSpeed(long commandToken, TaskName task, int percent) {
+		if (commandToken < this.fencingToken) {
+			return new CommandResult.Refused(CommandResult.Refusal.FENCED);
+		}
+		if (this.running.containsKey(task)) {
+			this.speeds.put(task, percent);
+		}
+		return new CommandResult.Done(clockMillis());
+	}
+
+	private double measurementOf(TaskName task) {
+		StepSpec spec = this.world.specOf(task);
+		if (spec.serves()) {
+			return this.tail;
+		}
+		return spec.size().milliCores() * this.speeds.getOrDefault(task, 100) / 100.0;
+	}
+
 	private int percentOf(TaskName task) {
 		if (this.world.durationOf(task) == Long.MAX_VALUE) {
 			return 100;
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -23,7 +23,9 @@
 import io.lentilstream.jobs.TaskName;
 import io.lentilstream.jobs.TaskReport;
 import io.lentilstream.jobs.WorkerCommands;
+import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.carryover.CarriedKnowledge;
 import io.lentilstream.jobs.codec.DecodeException;
 import io.lentilstream.jobs.codec.ProgressCodec;
 import io.lentilstream.model.JobId;
@@ -63,6 +65,9 @@
 	/** The share of the commands without a result that are carried out seconds later. */
 	double delayed;
 
+	/** Whether successors restore what their predecessor has learned. */
+	boolean handsKnowledgeOver = true;
+
 	/** Whether the store accepts changes. */
 	boolean storeUp = true;
 
@@ -173,6 +178,7 @@
 		long token = schedulerTerm + 1L;
 		JobScheduler next = new JobScheduler(settings(), new VirtualCommands(schedulerTerm, token), this::logDecision,
 				this.clock::now, this.clock::now, LeadershipLease.unlimited(schedulerTerm * 64));
+		JobScheduler predecessor = this.scheduler;
 		this.scheduler = next;
 		for (JobSubmission submission : this.submissions.values()) {
 			if (!this.unreadable.contains(submission.id())) {
@@ -180,6 +186,7 @@
 			}
 		}
 		this.cancelled.forEach(next::cancel);
+		handOver(predecessor, next);
 		next.start(this.workers.values().stream().map(VirtualWorker::listing).toList());
 		this.workers.values()
 			.stream()
@@ -194,6 +201,29 @@
 				SETTINGS.predecessorLeadershipMillis(), SETTINGS.unlistedAfterMillis(), this.features);
 	}
 
+	private void handOver(JobScheduler predecessor, JobScheduler successor) {
+		if (predecessor == null || !this.handsKnowledgeOver) {
+			return;
+		}
+		Map<String, byte[]> snapshots = new HashMap<>();
+		predecessor.carriedKnowledge().forEach((kind) -> snapshots.put(kind.name(), kind.snapshot()));
+		for (CarriedKnowledge kind : successor.carriedKnowledge()) {
+			byte[] snapshot = snapshots.get(kind.name());
+			try {
+				if (snapshot.length > 0) {
+					kind.restore(snapshot, 0);
+				}
+			}
+			catch (DecodeException ex) {
+				throw new IllegalStateException(ex);
+			}
+		}
+	}
+
+	long overTargetSince(String worker) {
+		return this.scheduler.state.workers.get(new WorkerId(worker)).overTargetSince;
+	}
+
 	void toggleStore() {
 		this.storeUp = !this.storeUp;
 	}
@@ -264,6 +294,15 @@
 				step.placement(), step.image(), step.targetMillis(), step.maxUnavailable());
 	}
 
+	static StepSpec withImage(StepSpec step, String image, double targetMillis) {
+		return new StepSpec(step.count(), step.size(), step.estimateMillis(), step.dependsOn(), step.traits(),
+				step.placement(), image, targetMillis, step.maxUnavailable());
+	}
+
+	StepSpec specOf(TaskName task) {
+		return this.submissions.get(task.job()).steps().get(task.step());
+	}
+
 	void setDuration(TaskName task, long millis) {
 		this.durations.put(task, millis);
 	}
@@ -360,8 +399,8 @@
 		@Override
 		public void setSpeed(WorkerListing worker, TaskName task, int run, int percent,
 				Consumer<CommandResult> callback) {
-			send(worker, (target) -> new CommandResult.Done(target.clockMillis()), new CommandResult.Unknown(),
-					callback, 300);
+			send(worker, (target) -> target.setSpeed(this.token, task, percent), new CommandResult.Unknown(), callback,
+					300);
 		}
 
 		@Override
