--- a/jobs/src/main/java/io/lentilstream/jobs/codec/DecodeException.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/DecodeException.java
@@ -9,7 +9,7 @@
 
 	/**
 	 * Creates an exception.
-	 * @param message says what cannot be decoded
+	 * @param message what could not be decoded
 	 * @param cause the cause
 	 */
 	public DecodeException(String message, Throwable cause) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -50,6 +50,12 @@
 	/** The share of the full speed to which the run is limited, in percent. */
 	int speedPercent = FULL_SPEED;
 
+	/**
+	 * Whether the speed was set by this scheduler or is that of a start; otherwise it is
+	 * inferred.
+	 */
+	boolean speedConfirmed = true;
+
 	boolean speedChangeInFlight;
 
 	/** The work done before the speed last changed, in milliseconds at full speed. */
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/LearnedRunTimeSchedulingTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/LearnedRunTimeSchedulingTests.java
@@ -65,6 +65,18 @@
 		assertThat(this.world.log).anyMatch((line) -> line.contains("copy-ordered slow.0.0.0"));
 	}
 
+	@Test
+	void successorKeepsPredictingWhatItsPredecessorLearned() {
+		for (int i = 0; i < 20; i++) {
+			runJob("job-" + i, StepSpec.Traits.NONE);
+		}
+		this.world.takeOver();
+		this.world.clock.runFor(2000);
+		runJob("next", StepSpec.Traits.NONE);
+		String line = this.world.log.stream().filter((text) -> text.contains(" job-length next ")).findFirst().get();
+		assertThat(number(line, "predicted-error-percent")).isLessThan(25);
+	}
+
 	private void runJob(String id, StepSpec.Traits traits) {
 		StepSpec first = withEstimate(randomEstimate(), traits);
 		StepSpec second = VirtualWorld.withTraits(VirtualWorld.step(4, 1000, randomEstimate(), 0), traits);
