--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/BestEffortThrottle.java
@@ -103,7 +103,7 @@
 		}
 		else {
 			bestEffortRuns.stream()
-				.filter((run) -> run.speedPercent < FULL_SPEED)
+				.filter((run) -> run.speedPercent < FULL_SPEED || !run.speedConfirmed)
 				.forEach((run) -> speedUp(run, servingRuns));
 		}
 	}
@@ -167,12 +167,12 @@
 	}
 
 	private void setSpeed(Run run, int percent) {
-		if (percent == run.speedPercent || run.speedChangeInFlight) {
+		if ((percent == run.speedPercent && run.speedConfirmed) || run.speedChangeInFlight) {
 			return;
 		}
 		run.speedChangeInFlight = true;
 		int previousPercent = run.speedPercent;
-		run.speedPercent = percent;
+		run.changeSpeed(percent, this.state.now());
 		this.state.log.append("run-paced", run.task.name, "worker", run.worker, "percent", percent, "was",
 				previousPercent);
 		this.state.commands.setSpeed(run.worker.listing, run.task.name, run.number, percent,
@@ -185,9 +185,12 @@
 		if (result instanceof CommandResult.Refused refused && refused.reason() == CommandResult.Refusal.FENCED) {
 			this.state.fenced = true;
 		}
-		if (!(result instanceof CommandResult.Done)) {
+		if (result instanceof CommandResult.Done) {
+			run.speedConfirmed = true;
+		}
+		else {
 			// The next report triggers another attempt.
-			run.speedPercent = previousPercent;
+			run.changeSpeed(previousPercent, this.state.now());
 		}
 	}
 
