Let tasks wait for a place near their data while it pays

Change: with the feature place-waits, a task that has no room at its place compares the expected opening there with the time lost elsewhere. Each waiting task claims its opening, which cuts a crowd; the end of a wait is stored when it begins; jobs that would be late by waiting leave at once. Gangs and best-effort tasks are placed as before.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -19,6 +19,7 @@
 import io.lentilstream.jobs.WorkerCommands;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
+import io.lentilstream.jobs.runtime.RunTimePredictor;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.JobId;
 
@@ -96,7 +97,8 @@
 				workerSelector, reliability);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
 		this.loadLogger = new LoadLogger(this.state);
-		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter);
+		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter,
+				new PlaceWaitTracker(this.state, workerSelector, RunTimePredictor.callersEstimates()));
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -32,6 +32,8 @@
 
 	private final SuspectStarter suspectStarter;
 
+	private final PlaceWaitTracker placeWaits;
+
 	/**
 	 * The capacity kept during a pass for tasks whose job is being recorded, so that
 	 * tasks behind them do not take it.
@@ -44,8 +46,9 @@
 	private long nextPassAt = Long.MIN_VALUE;
 
 	PlacementPass(SchedulerState state, WorkerSelector workerSelector, RunStarter runStarter,
-			SuspectStarter suspectStarter) {
+			SuspectStarter suspectStarter, PlaceWaitTracker placeWaits) {
 		this.state = state;
+		this.placeWaits = placeWaits;
 		this.suspectStarter = suspectStarter;
 		this.workerSelector = workerSelector;
 		this.runStarter = runStarter;
@@ -66,6 +69,7 @@
 		this.reserved.forEach((run) -> run.worker.remove(run));
 		this.reserved.clear();
 		this.candidates.clear();
+		this.placeWaits.endPass(now);
 		long end = this.state.now();
 		this.nextPassAt = end + (end - now);
 	}
@@ -88,6 +92,9 @@
 				continue;
 			}
 			Outcome outcome = task.spec().traits().gang() ? startGang(task.step, now) : start(task, now);
+			if (outcome == Outcome.WAITS_FOR_PLACE) {
+				continue;
+			}
 			if (outcome == Outcome.STARTED || outcome == Outcome.NOT_RECORDED && !task.spec().traits().gang()) {
 				continue;
 			}
@@ -116,12 +123,18 @@
 	private Outcome start(Task task, long now) {
 		Worker worker = choose(task, now);
 		if (worker == null) {
+			this.placeWaits.refused(task);
 			return Outcome.NO_CAPACITY;
 		}
+		if (this.placeWaits.waits(task, worker, now)) {
+			this.state.recordBeforeFirstStart(task.job);
+			return Outcome.WAITS_FOR_PLACE;
+		}
 		if (!this.state.recordBeforeFirstStart(task.job)) {
 			reserve(task, worker, now);
 			return Outcome.NOT_RECORDED;
 		}
+		this.placeWaits.started(task, worker, now);
 		this.runStarter.start(task, worker, this.runStarter.nextRunNumber(task), now);
 		return Outcome.STARTED;
 	}
@@ -226,6 +239,9 @@
 		/** No VM has capacity, or members of the gang cannot start yet. */
 		NO_CAPACITY,
 
+		/** There is capacity, but waiting for a place near the data pays. */
+		WAITS_FOR_PLACE,
+
 		/** Capacity is reserved, but the job has to be recorded in the store first. */
 		NOT_RECORDED
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -34,6 +34,9 @@
 
 	String checkpoint = "";
 
+	/** The last reported progress of the last run that ended, in percent. */
+	int lastPercent;
+
 	/**
 	 * The VM on which a run last failed or stalled, which the next run avoids if
 	 * possible; {@code null} if none did.
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -104,7 +104,6 @@
 
 	boolean eligible(Task task, Worker worker, String rack, long now) {
 		StepSpec spec = task.spec();
-		StepSpec.Placement placement = spec.placement();
 		if (worker.keptFor != null && worker.keptFor != task) {
 			return false;
 		}
@@ -114,14 +113,22 @@
 		if (!spec.reserved().fitsWithin(worker.free()) || (!rack.isEmpty() && !rack.equals(worker.listing.rack()))) {
 			return false;
 		}
+		return allows(task, worker) && this.reliability.permits(task, worker, now)
+				&& (!spec.traits().bestEffort() || canRunBestEffort(task, worker, now));
+	}
+
+	/**
+	 * Tells whether the constraints of a task allow it on a VM, regardless of capacity.
+	 * @param task the task
+	 * @param worker the VM
+	 * @return {@code true} if they do
+	 */
+	boolean allows(Task task, Worker worker) {
+		StepSpec.Placement placement = task.spec().placement();
 		if (!placement.requiredLabel().isEmpty() && !worker.listing.labels().contains(placement.requiredLabel())) {
 			return false;
 		}
-		if (placement.maxPerWorker() > 0 && worker.countRuns(task.step) >= placement.maxPerWorker()) {
-			return false;
-		}
-		return this.reliability.permits(task, worker, now)
-				&& (!spec.traits().bestEffort() || canRunBestEffort(task, worker, now));
+		return placement.maxPerWorker() == 0 || worker.countRuns(task.step) < placement.maxPerWorker();
 	}
 
 	private boolean canRunBestEffort(Task task, Worker worker, long now) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -60,6 +60,8 @@
 	/** Whether the VM is listed as draining. */
 	boolean draining;
 
+	String rack = "r1-1";
+
 	/** Whether all tasks fail. */
 	boolean failing;
 
@@ -94,7 +96,7 @@
 
 	WorkerListing listing() {
 		return new WorkerListing(new WorkerId(this.id), this.incarnationStartMillis, SERVICE, this.address, this.zone,
-				this.draining, "r1-1", this.capacity, Set.of("k", "r1-1"));
+				this.draining, this.rack, this.capacity, Set.of("k", this.rack));
 	}
 
 	/**
