Leave out VMs that may not run a task from its expected openings

Cause: an opening was expected on VMs that the learned failure rates keep such tasks away from, so that a task could wait for a place it would not get. Change: placement and forecast share the check of the constraints.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlaceWaitTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlaceWaitTracker.java
@@ -73,7 +73,7 @@
 		PlaceQuestion question = new PlaceQuestion(now, prediction.medianMillis(), prediction.highMillis(),
 				this.state.settings.remoteFactor(), task.dueAt, this.contended.contains(task.job.policy.service()));
 		PlaceForecast forecast = forecast(new Place(task.job.policy.service(), rack), now);
-		Optional<Opening> opening = forecast.earliest(task.spec().reserved(), (vm) -> suitable(task, vm), now);
+		Optional<Opening> opening = forecast.earliest(task.spec().reserved(), (vm) -> suitable(task, vm, now), now);
 		PlaceWait wait = this.waits.get(task);
 		PlaceDecision decision = (wait != null) ? this.rule.review(wait, question, opening)
 				: this.rule.decide(question, opening);
@@ -195,9 +195,9 @@
 				whole.samples());
 	}
 
-	private boolean suitable(Task task, String vm) {
+	private boolean suitable(Task task, String vm, long now) {
 		Worker worker = this.state.workers.get(new WorkerId(vm));
-		return worker != null && this.workerSelector.allows(task, worker);
+		return worker != null && this.workerSelector.allows(task, worker, now);
 	}
 
 	private PlaceForecast forecast(Place place, long now) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -113,22 +113,25 @@
 		if (!spec.reserved().fitsWithin(worker.free()) || (!rack.isEmpty() && !rack.equals(worker.listing.rack()))) {
 			return false;
 		}
-		return allows(task, worker) && this.reliability.permits(task, worker, now)
-				&& (!spec.traits().bestEffort() || canRunBestEffort(task, worker, now));
+		return allows(task, worker, now) && (!spec.traits().bestEffort() || canRunBestEffort(task, worker, now));
 	}
 
 	/**
-	 * Tells whether the constraints of a task allow it on a VM, regardless of capacity.
+	 * Tells whether a task may run on a VM, regardless of capacity.
 	 * @param task the task
 	 * @param worker the VM
-	 * @return {@code true} if they do
+	 * @param now the current time in milliseconds
+	 * @return {@code true} if it may
 	 */
-	boolean allows(Task task, Worker worker) {
+	boolean allows(Task task, Worker worker, long now) {
 		StepSpec.Placement placement = task.spec().placement();
 		if (!placement.requiredLabel().isEmpty() && !worker.listing.labels().contains(placement.requiredLabel())) {
 			return false;
 		}
-		return placement.maxPerWorker() == 0 || worker.countRuns(task.step) < placement.maxPerWorker();
+		if (placement.maxPerWorker() > 0 && worker.countRuns(task.step) >= placement.maxPerWorker()) {
+			return false;
+		}
+		return this.reliability.permits(task, worker, now);
 	}
 
 	private boolean canRunBestEffort(Task task, Worker worker, long now) {
