--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/PlaceWaitTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/PlaceWaitTests.java
@@ -89,6 +89,21 @@
 		assertThat(this.world.violations).isEmpty();
 	}
 
+	@Test
+	void aMemberOfAGroupWaitsForTheRackOfTheFirst() {
+		this.far.changeCapacity(new Resources(1000, 16_000, 0));
+		start(this.world, true);
+		fillNear(7, 30_000);
+		JobSubmission group = this.world.submit("job-2", 0,
+				placed(VirtualWorld.step(2, 1000, WORK), new StepSpec.Placement("", "", true, 0)));
+		this.world.clock.runFor(300);
+		assertThat(this.far.running).hasSize(1);
+		assertThat(this.near.running).hasSize(7);
+		this.world.clock.runFor(2500);
+		assertThat(this.world.state(group)).isEqualTo(JobState.COMPLETED);
+		assertThat(this.near.running).hasSize(7);
+	}
+
 	@Test
 	void aWaitEndsWhenThePlaceDrains() {
 		start(this.world, true);
