Merge waits for a place near the data

Cause: a task whose rack had no room in a pass ran elsewhere at several times the work, however soon the rack had room. Change: where place-waits is enabled, the expected wait is compared with the extra run time elsewhere, with a stored deadline; run times are the learned ones where these are in force.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -99,7 +99,8 @@
 				workerSelector, reliability);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
 		this.loadLogger = new LoadLogger(this.state);
-		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter);
+		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter,
+				new PlaceWaitTracker(this.state, workerSelector, this.state.runTimes.predictor()));
 	}
 
 	/**
