--- a/cli/src/main/java/io/lentilstream/cli/explain/CauseTable.java
+++ b/cli/src/main/java/io/lentilstream/cli/explain/CauseTable.java
@@ -13,8 +13,8 @@
 final class CauseTable {
 
 	/** The causes in the order of their columns. */
-	static final List<String> CAUSES = List.of("earlier-term", "storing", "takeover", "room", "place", "starting",
-			"slowed", "paced", "again", "straggling", LateJob.UNEXPLAINED);
+	static final List<String> CAUSES = List.of("no-leader", LateJob.EARLIER_TERM, "storing", "takeover", "room",
+			"place", "starting", "slowed", "paced", "again", "straggling", LateJob.UNEXPLAINED);
 
 	private static final double SECOND_MILLIS = 1000;
 
@@ -38,7 +38,8 @@
 	}
 
 	/**
-	 * Returns the share of the lost time that has a known cause.
+	 * Returns the share of the lost time that has a known cause. Time under earlier
+	 * leaders has none, since only the last leader tells the phases of a job.
 	 * @return the share; 1 if no time was lost
 	 */
 	double explainedShare() {
@@ -46,7 +47,7 @@
 		long unexplained = 0;
 		for (Row row : this.rows.values()) {
 			lost += row.lost();
-			unexplained += row.get(LateJob.UNEXPLAINED);
+			unexplained += row.get(LateJob.UNEXPLAINED) + row.get(LateJob.EARLIER_TERM);
 		}
 		return (lost == 0) ? 1 : 1 - (double) unexplained / lost;
 	}
--- a/cli/src/main/java/io/lentilstream/cli/explain/LateJob.java
+++ b/cli/src/main/java/io/lentilstream/cli/explain/LateJob.java
@@ -24,12 +24,15 @@
 
 	static final String UNEXPLAINED = "unexplained";
 
+	/** The time under earlier leaders, whose phases are not told. */
+	static final String EARLIER_TERM = "earlier-term";
+
 	private static final Set<String> WORK = Set.of("full", "away");
 
 	static LateJob of(DecisionLine line) {
 		JsonNode fields = line.fields();
 		Map<String, Long> millis = new LinkedHashMap<>();
-		add(millis, "earlier-term", fields.path("earlier-term").asLong());
+		add(millis, EARLIER_TERM, fields.path("earlier-term").asLong());
 		add(millis, "storing", fields.path("unknown").asLong());
 		for (String entry : fields.path("times").asText().split(" ")) {
 			int separator = entry.indexOf('=');
@@ -63,8 +66,22 @@
 		}
 	}
 
-	boolean service() {
-		return this.state.equals("RUNNING");
+	/**
+	 * Returns the job with the time without a leader as a cause of its own.
+	 * @param time the time without a leader while the job was active, in milliseconds
+	 * @return the job
+	 */
+	LateJob withoutLeaderFor(long time) {
+		Map<String, Long> split = new LinkedHashMap<>(this.millis);
+		long part = Math.min(time, split.getOrDefault(EARLIER_TERM, 0L));
+		add(split, "no-leader", part);
+		split.computeIfPresent(EARLIER_TERM, (cause, all) -> all - part);
+		return new LateJob(this.id, this.queue, this.state, this.late, this.wallMillis, this.milliCores, this.loggedAt,
+				this.tailMillis, split);
+	}
+
+	long acceptedAt() {
+		return this.loggedAt - this.wallMillis;
 	}
 
 	static boolean lost(String cause) {
--- a/cli/src/main/java/io/lentilstream/cli/explain/LateReport.java
+++ b/cli/src/main/java/io/lentilstream/cli/explain/LateReport.java
@@ -28,7 +28,7 @@
 	private static final double PERCENT = 100;
 
 	private static final Set<String> DECISIONS = Set.of("job-times", "service-times", "room", "load", "job-submitted",
-			"job-refused");
+			"job-refused", "term-begun");
 
 	/**
 	 * The jobs that ended, by id and occurrence; a later line replaces an earlier one.
@@ -45,6 +45,8 @@
 
 	private final TreeMap<Long, TreeMap<String, String>> rooms = new TreeMap<>();
 
+	private final LeaderGaps gaps = new LeaderGaps();
+
 	private long firstMillis = Long.MAX_VALUE;
 
 	/**
@@ -58,6 +60,9 @@
 
 	void add(DecisionLine line) {
 		long time = line.fields().path("time").asLong();
+		if (line.decision().equals("load")) {
+			this.gaps.leaderSeen(time);
+		}
 		switch (line.decision()) {
 			case "job-times" ->
 				this.ended.put(line.subject() + "." + line.fields().path("occurrence").asInt(), LateJob.of(line));
@@ -65,6 +70,7 @@
 			case "job-submitted", "job-refused" -> addSubmission(line, time);
 			case "room" -> this.rooms.computeIfAbsent(time / SECOND_MILLIS, (second) -> new TreeMap<>())
 				.put(line.subject(), roomText(line));
+			case "term-begun" -> this.gaps.termBegun(time);
 			case "load" -> this.rooms.computeIfAbsent(time / SECOND_MILLIS, (second) -> new TreeMap<>())
 				.put("", String.format(Locale.ROOT, "%d VMs, %.0f cores", line.fields().path("usable").asInt(),
 						line.fields().path("capacity-mcores").asLong() / CORE));
@@ -109,7 +115,14 @@
 	 * @return the table
 	 */
 	CauseTable endedBy(String group, Function<LateJob, String> key) {
-		return table(group, List.copyOf(this.ended.values()), key);
+		return table(group, endedJobs(), key);
+	}
+
+	private List<LateJob> endedJobs() {
+		return this.ended.values()
+			.stream()
+			.map((job) -> job.withoutLeaderFor(this.gaps.within(job.acceptedAt(), job.loggedAt())))
+			.toList();
 	}
 
 	CauseTable servicesBy(String group, Function<LateJob, String> key) {
@@ -139,7 +152,7 @@
 		out.printf(Locale.ROOT, "Jobs that ended, and the time that the late and failed ones lost: %.1f%% explained%n",
 				PERCENT * byQueue.explainedShare());
 		byQueue.print(out);
-		printGroups(out, List.copyOf(this.ended.values()));
+		printGroups(out, endedJobs());
 		out.println("Long-running jobs, in task-seconds; a line for each job and second with a loss");
 		servicesBy("queue", LateJob::queue).print(out);
 		printGroups(out, this.services);
@@ -150,8 +163,7 @@
 		this.rooms.forEach((second, queuesRoom) -> out
 			.println(String.format(Locale.ROOT, "%4d ", second - start() / SECOND_MILLIS) + queuesRoom));
 		out.println("\nEach late or failed job: id, queue, zone, state, wall ms, lost ms, times in ms");
-		this.ended.values()
-			.stream()
+		endedJobs().stream()
 			.filter(LateJob::late)
 			.sorted(Comparator.comparingLong(LateJob::lostMillis).reversed())
 			.forEach((job) -> out.println(job.id() + " " + job.queue() + " " + zoneOf(job) + " " + job.state() + " "
--- a/cli/src/test/java/io/lentilstream/cli/explain/LateReportTests.java
+++ b/cli/src/test/java/io/lentilstream/cli/explain/LateReportTests.java
@@ -39,6 +39,17 @@
 		assertThat(table.lostMillis("earlier-term")).isEqualTo(500);
 	}
 
+	@Test
+	void timeWithoutALeaderIsACauseAndTheRestOfEarlierTermsIsNotExplained() {
+		add("\"decision\":\"load\",\"subject\":\"workers\"", "edge-north-1", -3000);
+		add("\"decision\":\"term-begun\",\"subject\":\"2\"", "edge-north-2", -1000);
+		ended("job", 5000, "\"earlier-term\":3000", "room=2000");
+		CauseTable table = this.report.endedBy("queue", LateJob::queue);
+		assertThat(table.lostMillis("no-leader")).isEqualTo(2000);
+		assertThat(table.lostMillis(LateJob.EARLIER_TERM)).isEqualTo(1000);
+		assertThat(table.explainedShare()).isEqualTo(0.8);
+	}
+
 	@Test
 	void theLineOfASuccessorReplacesThatOfItsPredecessor() {
 		ended("job", 5000, "\"unknown\":0", "room=5000");
@@ -74,7 +85,11 @@
 	}
 
 	private void add(String fields, String node) {
-		String text = "12.5 " + node + " {\"time\":1000,\"node\":\"" + node + "\"," + fields + "}";
+		add(fields, node, 1000);
+	}
+
+	private void add(String fields, String node, long time) {
+		String text = "12.5 " + node + " {\"time\":" + time + ",\"node\":\"" + node + "\"," + fields + "}";
 		assertThat(LateReport.mayConcern(text)).isTrue();
 		this.report.add(DecisionLine.parse(text, 0).orElseThrow());
 	}
