Tell the times of active jobs, so that a failed leader's are not lost

Active jobs of a second or more are now told every two seconds, and the report adds up the terms. Restored tasks of a job with stored progress counted as waiting for room until the takeover settled; they now count as takeover.

--- a/cli/src/main/java/io/lentilstream/cli/explain/LateJob.java
+++ b/cli/src/main/java/io/lentilstream/cli/explain/LateJob.java
@@ -66,6 +66,32 @@
 		}
 	}
 
+	/**
+	 * Returns the job with its time under earlier leaders divided as their last line
+	 * tells.
+	 * @param earlier what the last line of an earlier leader tells
+	 * @return the job
+	 */
+	LateJob after(LateJob earlier) {
+		Map<String, Long> combined = new LinkedHashMap<>(earlier.millis);
+		long untold = Math.max(0, this.millis.getOrDefault(EARLIER_TERM, 0L) - earlier.wallMillis);
+		this.millis.forEach((cause, time) -> add(combined, cause, cause.equals(EARLIER_TERM) ? untold : time));
+		return new LateJob(this.id, this.queue, this.state, this.late, this.wallMillis, this.milliCores, this.loggedAt,
+				this.tailMillis + earlier.tailMillis, combined);
+	}
+
+	/**
+	 * Returns when the leader that wrote the line took over the job.
+	 * @return the time in milliseconds since 1970
+	 */
+	long takenOverAt() {
+		return acceptedAt() + this.millis.getOrDefault(EARLIER_TERM, 0L);
+	}
+
+	boolean active() {
+		return this.state.equals("RUNNING");
+	}
+
 	/**
 	 * Returns the job with the time without a leader as a cause of its own.
 	 * @param time the time without a leader while the job was active, in milliseconds
--- a/cli/src/main/java/io/lentilstream/cli/explain/LateReport.java
+++ b/cli/src/main/java/io/lentilstream/cli/explain/LateReport.java
@@ -30,10 +30,8 @@
 	private static final Set<String> DECISIONS = Set.of("job-times", "service-times", "room", "load", "job-submitted",
 			"job-refused", "term-begun");
 
-	/**
-	 * The jobs that ended, by id and occurrence; a later line replaces an earlier one.
-	 */
-	private final Map<String, LateJob> ended = new LinkedHashMap<>();
+	/** The jobs by id and occurrence. */
+	private final Map<String, JobTerms> jobs = new LinkedHashMap<>();
 
 	private final List<LateJob> services = new ArrayList<>();
 
@@ -65,7 +63,10 @@
 		}
 		switch (line.decision()) {
 			case "job-times" ->
-				this.ended.put(line.subject() + "." + line.fields().path("occurrence").asInt(), LateJob.of(line));
+				this.jobs
+					.computeIfAbsent(line.subject() + "." + line.fields().path("occurrence").asInt(),
+							(key) -> new JobTerms())
+					.add(LateJob.of(line));
 			case "service-times" -> this.services.add(LateJob.of(line));
 			case "job-submitted", "job-refused" -> addSubmission(line, time);
 			case "room" -> this.rooms.computeIfAbsent(time / SECOND_MILLIS, (second) -> new TreeMap<>())
@@ -105,7 +106,7 @@
 	}
 
 	boolean empty() {
-		return this.ended.isEmpty() && this.services.isEmpty() && this.queues.isEmpty() && this.refusals.isEmpty();
+		return this.jobs.isEmpty() && this.services.isEmpty() && this.queues.isEmpty() && this.refusals.isEmpty();
 	}
 
 	/**
@@ -119,8 +120,10 @@
 	}
 
 	private List<LateJob> endedJobs() {
-		return this.ended.values()
+		return this.jobs.values()
 			.stream()
+			.map(JobTerms::combined)
+			.filter((job) -> !job.active())
 			.map((job) -> job.withoutLeaderFor(this.gaps.within(job.acceptedAt(), job.loggedAt())))
 			.toList();
 	}
@@ -189,9 +192,10 @@
 
 	private void printWithoutEnd(PrintStream out) {
 		Map<String, Integer> counts = new TreeMap<>();
+		Set<String> ended = endedJobs().stream().map(LateJob::id).collect(Collectors.toSet());
 		Set<String> serviceIds = this.services.stream().map(LateJob::id).collect(Collectors.toSet());
 		this.queues.forEach((id, queue) -> {
-			if (!serviceIds.contains(id) && !this.ended.containsKey(id + ".0")) {
+			if (!serviceIds.contains(id) && !ended.contains(id)) {
 				counts.merge(queue, 1, Integer::sum);
 			}
 		});
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -95,7 +95,7 @@
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
 				workerSelector, reliability);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
-		this.loadLogger = new LoadLogger(this.state);
+		this.loadLogger = new LoadLogger(this.state, timeOfDay);
 		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter);
 	}
 
@@ -155,6 +155,7 @@
 		for (StepState step : steps) {
 			for (Task task : step.tasks) {
 				task.possiblyRunning = !task.done;
+				RunTimes.takenOver(task, now);
 			}
 		}
 		this.progression.releaseReadySteps(job, occurrence, now);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
@@ -1,5 +1,7 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.util.function.LongSupplier;
+
 /**
  * Logs the utilization of the VMs and the demand of waiting tasks once per second, so
  * that a slow job can be distinguished from a fully loaded system.
@@ -14,9 +16,9 @@
 
 	private long nextAt = Long.MIN_VALUE;
 
-	LoadLogger(SchedulerState state) {
+	LoadLogger(SchedulerState state, LongSupplier timeOfDay) {
 		this.state = state;
-		this.roomLogger = new RoomLogger(state);
+		this.roomLogger = new RoomLogger(state, new JobTimesLogger(state, timeOfDay));
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RoomLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RoomLogger.java
@@ -4,19 +4,30 @@
 import java.util.List;
 import java.util.Map;
 
+import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.accounting.PhaseTimes;
 
 /**
  * Logs once per second which queues have the room and which wait for it, and the
- * long-running jobs that have lost time since. The number of lines is bounded by the
- * number of queues and long-running jobs.
+ * long-running jobs that have lost time since. The times of other active jobs are logged
+ * every two seconds, since those of a leader that fails are lost otherwise. The number of
+ * lines is bounded by the number of queues and active jobs.
  */
 final class RoomLogger {
 
+	/** The age from which the times of an active job are logged, in milliseconds. */
+	private static final long MIN_AGE_MILLIS = 1000;
+
 	private final SchedulerState state;
 
-	RoomLogger(SchedulerState state) {
+	private final JobTimesLogger timesLogger;
+
+	/** Whether the jobs with an odd hash are due; the others follow a second later. */
+	private boolean oddDue;
+
+	RoomLogger(SchedulerState state, JobTimesLogger timesLogger) {
 		this.state = state;
+		this.timesLogger = timesLogger;
 	}
 
 	void log(long now) {
@@ -33,7 +44,12 @@
 			if (job.active() && job.submission.longRunning()) {
 				logService(job, now);
 			}
+			else if (job.active() && now - job.knownSince >= MIN_AGE_MILLIS
+					&& this.oddDue == (job.id().hashCode() % 2 != 0)) {
+				job.occurrences.values().forEach((steps) -> this.timesLogger.log(job, steps, JobState.RUNNING, now));
+			}
 		}
+		this.oddDue = !this.oddDue;
 		rooms.forEach((queue, room) -> this.state.log.append("room", queue, "runs", room.runs, "running-mcores",
 				room.running, "paced-mcores", room.paced, "waits", room.waits, "waiting-mcores", room.waiting, "oldest",
 				room.oldest));
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunTimes.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunTimes.java
@@ -21,6 +21,12 @@
 		}
 	}
 
+	static void takenOver(Task task, long now) {
+		if (task.possiblyRunning && task.step.released) {
+			task.timer.enter(TimePhase.TAKEOVER, now);
+		}
+	}
+
 	static void starting(Run run, long now) {
 		if (first(run)) {
 			run.task.timer.enter(TimePhase.STARTING, now);
