--- a/cli/src/main/java/io/lentilstream/cli/explain/LateReport.java
+++ b/cli/src/main/java/io/lentilstream/cli/explain/LateReport.java
@@ -28,12 +28,10 @@
 	private static final double PERCENT = 100;
 
 	private static final Set<String> DECISIONS = Set.of("job-times", "service-times", "room", "load", "job-submitted",
-			"job-refused");
+			"job-refused", "term-begun");
 
-	/**
-	 * The jobs that ended, by id and occurrence; a later line replaces an earlier one.
-	 */
-	private final Map<String, LateJob> ended = new LinkedHashMap<>();
+	/** The jobs by id and occurrence. */
+	private final Map<String, JobTerms> jobs = new LinkedHashMap<>();
 
 	private final List<LateJob> services = new ArrayList<>();
 
@@ -45,6 +43,8 @@
 
 	private final TreeMap<Long, TreeMap<String, String>> rooms = new TreeMap<>();
 
+	private final LeaderGaps gaps = new LeaderGaps();
+
 	private long firstMillis = Long.MAX_VALUE;
 
 	/**
@@ -58,13 +58,20 @@
 
 	void add(DecisionLine line) {
 		long time = line.fields().path("time").asLong();
+		if (line.decision().equals("load")) {
+			this.gaps.leaderSeen(time);
+		}
 		switch (line.decision()) {
 			case "job-times" ->
-				this.ended.put(line.subject() + "." + line.fields().path("occurrence").asInt(), LateJob.of(line));
+				this.jobs
+					.computeIfAbsent(line.subject() + "." + line.fields().path("occurrence").asInt(),
+							(key) -> new JobTerms())
+					.add(LateJob.of(line));
 			case "service-times" -> this.services.add(LateJob.of(line));
 			case "job-submitted", "job-refused" -> addSubmission(line, time);
 			case "room" -> this.rooms.computeIfAbsent(time / SECOND_MILLIS, (second) -> new TreeMap<>())
 				.put(line.subject(), roomText(line));
+			case "term-begun" -> this.gaps.termBegun(time);
 			case "load" -> this.rooms.computeIfAbsent(time / SECOND_MILLIS, (second) -> new TreeMap<>())
 				.put("", String.format(Locale.ROOT, "%d VMs, %.0f cores", line.fields().path("usable").asInt(),
 						line.fields().path("capacity-mcores").asLong() / CORE));
@@ -99,7 +106,7 @@
 	}
 
 	boolean empty() {
-		return this.ended.isEmpty() && this.services.isEmpty() && this.queues.isEmpty() && this.refusals.isEmpty();
+		return this.jobs.isEmpty() && this.services.isEmpty() && this.queues.isEmpty() && this.refusals.isEmpty();
 	}
 
 	/**
@@ -109,7 +116,16 @@
 	 * @return the table
 	 */
 	CauseTable endedBy(String group, Function<LateJob, String> key) {
-		return table(group, List.copyOf(this.ended.values()), key);
+		return table(group, endedJobs(), key);
+	}
+
+	private List<LateJob> endedJobs() {
+		return this.jobs.values()
+			.stream()
+			.map(JobTerms::combined)
+			.filter((job) -> !job.active())
+			.map((job) -> job.withoutLeaderFor(this.gaps.within(job.acceptedAt(), job.loggedAt())))
+			.toList();
 	}
 
 	CauseTable servicesBy(String group, Function<LateJob, String> key) {
@@ -139,7 +155,7 @@
 		out.printf(Locale.ROOT, "Jobs that ended, and the time that the late and failed ones lost: %.1f%% explained%n",
 				PERCENT * byQueue.explainedShare());
 		byQueue.print(out);
-		printGroups(out, List.copyOf(this.ended.values()));
+		printGroups(out, endedJobs());
 		out.println("Long-running jobs, in task-seconds; a line for each job and second with a loss");
 		servicesBy("queue", LateJob::queue).print(out);
 		printGroups(out, this.services);
@@ -150,8 +166,7 @@
 		this.rooms.forEach((second, queuesRoom) -> out
 			.println(String.format(Locale.ROOT, "%4d ", second - start() / SECOND_MILLIS) + queuesRoom));
 		out.println("\nEach late or failed job: id, queue, zone, state, wall ms, lost ms, times in ms");
-		this.ended.values()
-			.stream()
+		endedJobs().stream()
 			.filter(LateJob::late)
 			.sorted(Comparator.comparingLong(LateJob::lostMillis).reversed())
 			.forEach((job) -> out.println(job.id() + " " + job.queue() + " " + zoneOf(job) + " " + job.state() + " "
@@ -177,9 +192,10 @@
 
 	private void printWithoutEnd(PrintStream out) {
 		Map<String, Integer> counts = new TreeMap<>();
+		Set<String> ended = endedJobs().stream().map(LateJob::id).collect(Collectors.toSet());
 		Set<String> serviceIds = this.services.stream().map(LateJob::id).collect(Collectors.toSet());
 		this.queues.forEach((id, queue) -> {
-			if (!serviceIds.contains(id) && !this.ended.containsKey(id + ".0")) {
+			if (!serviceIds.contains(id) && !ended.contains(id)) {
 				counts.merge(queue, 1, Integer::sum);
 			}
 		});
