Keep adopted runs of later steps until the takeover is complete

Change: such runs are kept until all VMs have reported or need not be waited for. The wait for a place is accounted as a phase of its own.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -62,6 +62,8 @@
 
 	private final ZoneEvacuation zoneEvacuation;
 
+	private final AdoptedRunReview adoptedRunReview;
+
 	/**
 	 * Creates a scheduler without jobs and VMs.
 	 * @param settings the limits set by the platform
@@ -78,6 +80,7 @@
 		this.workerConditions = new WorkerConditions(this.state);
 		this.zoneEvacuation = new ZoneEvacuation(log);
 		this.runStopper = new RunStopper(this.state);
+		this.adoptedRunReview = new AdoptedRunReview(this.takeover, this.runStopper);
 		this.progression = new JobProgression(this.state, this.runStopper, timeOfDay);
 		WorkerCircuitBreaker circuitBreaker = new WorkerCircuitBreaker(this.state);
 		this.headroom = new HeadroomReserve(this.state);
@@ -93,7 +96,7 @@
 		SuspectStarter suspectStarter = new SuspectStarter(this.state, workerSelector, runStarter);
 		this.reportHandler = new ReportHandler(this.state, runStarter, this.runEndHandler, this.runStopper,
 				this.takeover, new BestEffortThrottle(this.state, forecast), this.crashDetector, crashAttribution,
-				suspectStarter, this.workerConditions);
+				suspectStarter, this.workerConditions, this.adoptedRunReview);
 		this.reportPoller = new ReportPoller(this.state, this.reportHandler, this.runEndHandler, this.crashDetector);
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
 				workerSelector, reliability);
@@ -360,6 +363,7 @@
 	private void completeTakeoverIfDue(long now) {
 		if (this.takeover.completesNow(now)) {
 			this.state.log.append("takeover-settled", "scheduler", "workers", this.state.workers.size());
+			this.adoptedRunReview.takeoverCompleted(now);
 			this.state.jobs.values().forEach((job) -> addWaitingTasks(job));
 		}
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlaceWaitTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlaceWaitTracker.java
@@ -12,6 +12,7 @@
 
 import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.jobs.WorkerId;
+import io.lentilstream.jobs.accounting.TimePhase;
 import io.lentilstream.jobs.locality.ExpectedEnd;
 import io.lentilstream.jobs.locality.Opening;
 import io.lentilstream.jobs.locality.PlaceDecision;
@@ -84,6 +85,7 @@
 		PlaceDecision.Wait chosen = (PlaceDecision.Wait) decision;
 		forecast.claim(chosen.opening(), task.spec().reserved(), prediction.medianMillis());
 		if (wait == null) {
+			task.timer.enter(TimePhase.PLACE, now);
 			this.waits.put(task, new PlaceWait(now, chosen.opening().at(), chosen.until(), false));
 			this.state.log.append("place-wait-begun", task.name, "rack", rack, "expected-wait-ms",
 					chosen.opening().at() - now, "longest-wait-ms", chosen.until() - now, "expected-gain-ms",
@@ -100,6 +102,7 @@
 		}
 		else if (!wait.abandoned()) {
 			this.waits.put(task, wait.abandon());
+			task.timer.enter(TimePhase.ROOM, now);
 			this.state.log.append("place-wait-given-up", task.name, "rack", rack, "reason", reason, "waited-ms",
 					now - wait.beganAt(), "expected-wait-ms", wait.expectedAt() - wait.beganAt());
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -31,9 +31,13 @@
 
 	private final WorkerConditions workerConditions;
 
+	private final AdoptedRunReview adoptedRunReview;
+
 	ReportHandler(SchedulerState state, RunStarter runStarter, RunEndHandler runEndHandler, RunStopper runStopper,
 			TakeoverTracker takeover, BestEffortThrottle throttle, CrashDetector crashDetector,
-			CrashAttribution crashAttribution, SuspectStarter suspectStarter, WorkerConditions workerConditions) {
+			CrashAttribution crashAttribution, SuspectStarter suspectStarter, WorkerConditions workerConditions,
+			AdoptedRunReview adoptedRunReview) {
+		this.adoptedRunReview = adoptedRunReview;
 		this.state = state;
 		this.runStarter = runStarter;
 		this.runEndHandler = runEndHandler;
@@ -168,7 +172,7 @@
 		}
 		Run run = new Run(task, reported.run(), worker, now);
 		AdoptedSpeed.infer(run, reported.measurement());
-		boolean needed = task.job.active() && !task.done && task.step.released
+		boolean needed = task.job.active() && !task.done && this.adoptedRunReview.keeps(run)
 				&& (task.runs.isEmpty() || task.spec().traits().speculative());
 		task.lastRun = Math.max(task.lastRun, reported.run());
 		task.runs.add(run);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
@@ -103,6 +103,15 @@
 		return found;
 	}
 
+	/**
+	 * Tells whether there are VMs that may have runs of the predecessor and have not
+	 * reported.
+	 * @return {@code true} until the takeover is complete
+	 */
+	boolean pending() {
+		return !this.unreported.isEmpty();
+	}
+
 	boolean waitsFor(WorkerId id) {
 		return this.unreported.containsKey(id);
 	}
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/TakeoverTests.java
@@ -43,6 +43,47 @@
 		assertThat(this.world.violations).isEmpty();
 	}
 
+	@Test
+	void theRunOfALaterStepGoesOnIfTheEndOfTheEarlierOneIsReportedLater() {
+		VirtualWorker first = startSecondStepWithoutStoringTheEndOfTheFirst(6000);
+		first.partitioned = true;
+		this.world.takeOver();
+		this.world.clock.runFor(1000);
+		assertThat(this.world.workers.get("w2").running).hasSize(1);
+		first.heal();
+		this.world.clock.runFor(6000);
+		assertThat(this.world.log.stream().filter((line) -> line.contains("start-ordered"))).hasSize(2);
+		assertThat(this.world.scheduler.state(new JobId("job-1"))).contains(JobState.COMPLETED);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	@Test
+	void theRunOfALaterStepIsStoppedIfTheEndOfTheEarlierOneIsLostForGood() {
+		VirtualWorker first = startSecondStepWithoutStoringTheEndOfTheFirst(20_000);
+		first.crash();
+		this.world.takeOver();
+		this.world.clock.runFor(50_000);
+		assertThat(this.world.log.stream().filter((line) -> line.contains("an earlier step is not done"))).hasSize(1);
+		assertThat(this.world.scheduler.state(new JobId("job-1"))).contains(JobState.COMPLETED);
+		assertThat(this.world.violations).isEmpty();
+	}
+
+	private VirtualWorker startSecondStepWithoutStoringTheEndOfTheFirst(long secondStepMillis) {
+		VirtualWorker first = this.world.addWorker("w1");
+		this.world.takeOver();
+		this.world.submit("job-1", 0, VirtualWorld.step(1, 1000, 1000),
+				VirtualWorld.step(1, 1000, secondStepMillis, 0));
+		this.world.clock.runFor(500);
+		this.world.addWorker("w2");
+		first.draining = true;
+		this.world.scheduler.workerListed(first.listing());
+		this.world.toggleStore();
+		this.world.clock.runFor(1500);
+		assertThat(this.world.workers.get("w2").running).hasSize(1);
+		this.world.toggleStore();
+		return first;
+	}
+
 	@Test
 	void taskOnAnUnreachableWorkerRestartsOnlyAfterItsLeaseExpires() {
 		this.world.addWorker("w1");
