Share capacity between queues of the same priority

Cause: within a priority the queue that sends most takes most, many wide jobs are half done at the same time, and a late job waits behind all others for as long as a load above the capacity lasts.

A placement pass takes short tasks of the same priority by the processor time that their queues use, within a queue started jobs before others, and late jobs up to an eighth of their queue's use while others wait. What is in use is recomputed from the runs in each pass. An eighth keeps the loss of others small while late jobs end; first in first out over all late jobs would make every job late.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -32,6 +32,8 @@
 
 	private final SuspectStarter suspectStarter;
 
+	private final PlacementOrder placementOrder;
+
 	/**
 	 * The capacity kept during a pass for tasks whose job is being recorded, so that
 	 * tasks behind them do not take it.
@@ -46,6 +48,7 @@
 	PlacementPass(SchedulerState state, WorkerSelector workerSelector, RunStarter runStarter,
 			SuspectStarter suspectStarter) {
 		this.state = state;
+		this.placementOrder = new PlacementOrder(state);
 		this.suspectStarter = suspectStarter;
 		this.workerSelector = workerSelector;
 		this.runStarter = runStarter;
@@ -73,7 +76,7 @@
 	private void place(long now) {
 		Set<StepState> blockedSteps = new HashSet<>();
 		Map<Requirements, Resources> refusedSizes = new HashMap<>();
-		for (Task task : List.copyOf(this.state.waiting)) {
+		for (Task task : this.placementOrder.waitingTasks(now)) {
 			if (task.notBefore > now || blockedSteps.contains(task.step) || !this.state.waiting.contains(task)
 					|| this.state.firstStartDebouncer.defers(task, now)) {
 				continue;
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -268,8 +268,12 @@
 	}
 
 	JobSubmission submit(String id, QueuePolicy policy, StepSpec... steps) {
-		JobSubmission submission = new JobSubmission(new JobId(id), "q" + policy.priority(), policy, "payload",
-				List.of(steps), JobSubmission.Schedule.ONCE, this.clock.now());
+		return submitTo("q" + policy.priority(), id, policy, steps);
+	}
+
+	JobSubmission submitTo(String queue, String id, QueuePolicy policy, StepSpec... steps) {
+		JobSubmission submission = new JobSubmission(new JobId(id), queue, policy, "payload", List.of(steps),
+				JobSubmission.Schedule.ONCE, this.clock.now());
 		this.submissions.put(submission.id(), submission);
 		this.scheduler.submit(submission);
 		return submission;
