Average the spread of a step by quartiles and by its longest task apart

Taking the lesser of two noisy spreads for each step is biased towards low ones.

Change: both are averaged over steps, and the lesser average counts.

--- a/jobs/src/main/java/io/lentilstream/jobs/runtime/QueueRunTimes.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/runtime/QueueRunTimes.java
@@ -15,7 +15,7 @@
 	static final int MAX_KINDS = 64;
 
 	/** The number of scalars in a snapshot. */
-	static final int SCALARS = 4;
+	static final int SCALARS = 5;
 
 	/** The number of steps before the callers of a queue are judged. */
 	private static final double MIN_STEPS = 5;
@@ -51,9 +51,12 @@
 	/** The mean absolute difference of predictions, as logarithms. */
 	private double predictionError;
 
-	/** The mean spread of the tasks of a step, as logarithms. */
+	/** The mean spread of the tasks of a step by their quartiles, as logarithms. */
 	private double spread;
 
+	/** The mean spread of the tasks of a step by the longest, as logarithms. */
+	private double tail;
+
 	private boolean estimatesWrong;
 
 	QueueRunTimes() {
@@ -65,7 +68,8 @@
 		this.callersError = scalars[0];
 		this.predictionError = scalars[1];
 		this.spread = scalars[2];
-		this.estimatesWrong = scalars[3] > 0;
+		this.tail = scalars[3];
+		this.estimatesWrong = scalars[4] > 0;
 	}
 
 	void observe(StepSpec step, StepLength length) {
@@ -78,6 +82,7 @@
 		this.predictionError += rate * (Math.abs(actual - predicted) - this.predictionError);
 		if (length.spread() > 0) {
 			this.spread += rate * (length.spread() - this.spread);
+			this.tail += rate * (length.tail() - this.tail);
 		}
 		this.all.observe(estimate, actual);
 		this.kinds.computeIfAbsent(kind(step), (key) -> new EstimateRegression()).observe(estimate, actual);
@@ -119,7 +124,8 @@
 	 * @return the time in milliseconds
 	 */
 	long stepMillis(StepSpec step) {
-		return millis(logPrediction(step) + this.spread * StepLength.expectedMaximum(step.count()));
+		return millis(
+				logPrediction(step) + Math.min(this.spread, this.tail) * StepLength.expectedMaximum(step.count()));
 	}
 
 	private double logPrediction(StepSpec step) {
@@ -157,7 +163,8 @@
 	}
 
 	double[] scalars() {
-		return new double[] { this.callersError, this.predictionError, this.spread, this.estimatesWrong ? 1 : 0 };
+		return new double[] { this.callersError, this.predictionError, this.spread, this.tail,
+				this.estimatesWrong ? 1 : 0 };
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/runtime/RunTimesCodec.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/runtime/RunTimesCodec.java
@@ -12,7 +12,7 @@
 import io.lentilstream.jobs.codec.DecodeException;
 
 /**
- * A codec of learned run times. A queue takes its name, nine numbers and, for each kind,
+ * A codec of learned run times. A queue takes its name, ten numbers and, for each kind,
  * its name and five numbers of five bytes each.
  */
 final class RunTimesCodec {
--- a/jobs/src/main/java/io/lentilstream/jobs/runtime/StepLength.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/runtime/StepLength.java
@@ -7,11 +7,12 @@
  *
  * @param medianMillis the median, in milliseconds
  * @param longestMillis the longest, in milliseconds
- * @param spread the standard deviation of the natural logarithm of the run times; from
- * their quartiles, so that a few slow VMs do not count, or from the longest where that is
- * less; 0 for few tasks
+ * @param spread the standard deviation of the natural logarithm of the run times, from
+ * their quartiles, so that a few slow VMs do not count; 0 for few tasks
+ * @param tail the same from the longest, which is less if the run times are bounded; 0
+ * for few tasks
  */
-public record StepLength(long medianMillis, long longestMillis, double spread) {
+public record StepLength(long medianMillis, long longestMillis, double spread, double tail) {
 
 	/** The smallest number of tasks from which a spread is derived. */
 	private static final int MIN_TASKS_FOR_SPREAD = 4;
@@ -32,13 +33,14 @@
 		Arrays.sort(sorted);
 		int count = sorted.length;
 		double spread = 0;
+		double tail = 0;
 		if (count >= MIN_TASKS_FOR_SPREAD) {
 			double upper = Math.log(Math.max(1, sorted[count * 3 / 4]));
-			double quartiles = (upper - Math.log(Math.max(1, sorted[(count - 1) / 4]))) / QUARTILE_DISTANCE;
-			double tail = Math.log((double) sorted[count - 1] / Math.max(1, sorted[count / 2]));
-			spread = Math.max(0, Math.min(quartiles, tail / expectedMaximum(count)));
+			spread = (upper - Math.log(Math.max(1, sorted[(count - 1) / 4]))) / QUARTILE_DISTANCE;
+			double longest = Math.log((double) Math.max(1, sorted[count - 1]) / Math.max(1, sorted[count / 2]));
+			tail = longest / expectedMaximum(count);
 		}
-		return new StepLength(sorted[count / 2], sorted[count - 1], spread);
+		return new StepLength(sorted[count / 2], sorted[count - 1], spread, tail);
 	}
 
 	/**
--- a/jobs/src/test/java/io/lentilstream/jobs/runtime/LearnedRunTimesTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/runtime/LearnedRunTimesTests.java
@@ -103,7 +103,7 @@
 	@Test
 	void memoryIsBoundedWhenQueuesAndImagesAreCountless() {
 		for (int i = 0; i < 20_000; i++) {
-			this.runTimes.observe("queue-" + i % 100, step("image-" + i, 100), new StepLength(1000, 1000, 0));
+			this.runTimes.observe("queue-" + i % 100, step("image-" + i, 100), new StepLength(1000, 1000, 0, 0));
 		}
 		assertThat(this.runTimes.snapshot().length).isLessThan(32 * 64 * 50);
 	}
@@ -140,7 +140,7 @@
 
 	private void learn(StepSpec step, long millis, int times) {
 		for (int i = 0; i < times; i++) {
-			this.runTimes.observe(QUEUE, step, new StepLength(millis, millis, 0.1));
+			this.runTimes.observe(QUEUE, step, new StepLength(millis, millis, 0.1, 0.1));
 		}
 	}
 
