--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/CarriedKnowledgeTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/CarriedKnowledgeTests.java
@@ -23,6 +23,12 @@
 
 	private static final StepSpec.Traits BEST_EFFORT = new StepSpec.Traits(true, false, false, false, true);
 
+	@Test
+	void aSchedulerHandsOverAllKindsOfKnowledge() {
+		assertThat(worldWithServingTask().scheduler.carriedKnowledge()).extracting(CarriedKnowledge::name)
+			.contains("interference", "worker-conditions");
+	}
+
 	@Test
 	void sensitivitiesHoldAgainstAFewObservationsAfterTheTakeover() throws Exception {
 		InterferenceModel model = trained();
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -266,7 +266,7 @@
 	private double measurementOf(TaskName task) {
 		StepSpec spec = this.world.specOf(task);
 		if (spec.serves()) {
-			return this.tail;
+			return this.world.tailModel.applyAsDouble(this, task);
 		}
 		return spec.size().milliCores() * this.speeds.getOrDefault(task, 100) / 100.0;
 	}
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -12,6 +12,7 @@
 import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.ToDoubleBiFunction;
 
 import io.lentilstream.jobs.CommandResult;
 import io.lentilstream.jobs.JobProgress;
@@ -65,8 +66,8 @@
 	/** The share of the commands without a result that are carried out seconds later. */
 	double delayed;
 
-	/** Whether successors restore what their predecessor has learned. */
-	boolean handsKnowledgeOver = true;
+	/** The tail latency that a VM reports for a serving task, in milliseconds. */
+	ToDoubleBiFunction<VirtualWorker, TaskName> tailModel = (worker, task) -> worker.tail;
 
 	/** Whether the store accepts changes. */
 	boolean storeUp = true;
@@ -202,7 +203,7 @@
 	}
 
 	private void handOver(JobScheduler predecessor, JobScheduler successor) {
-		if (predecessor == null || !this.handsKnowledgeOver) {
+		if (predecessor == null) {
 			return;
 		}
 		Map<String, byte[]> snapshots = new HashMap<>();
@@ -224,6 +225,17 @@
 		return this.scheduler.state.workers.get(new WorkerId(worker)).overTargetSince;
 	}
 
+	int completedTasks() {
+		return this.completed.size();
+	}
+
+	/**
+	 * Loses the leader. A successor has to take over later.
+	 */
+	void loseLeader() {
+		this.term++;
+	}
+
 	void toggleStore() {
 		this.storeUp = !this.storeUp;
 	}
