--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -44,6 +44,8 @@
 
 	private final DrainingEvacuator evacuator;
 
+	private final PausedRunMover pausedRunMover;
+
 	private final LoadLogger loadLogger;
 
 	private final PlacementPass placementPass;
@@ -101,6 +103,7 @@
 		this.stragglerDetector = new StragglerDetector(this.state, this.runStopper, runStarter, circuitBreaker,
 				workerSelector, reliability);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
+		this.pausedRunMover = new PausedRunMover(this.state, this.runStopper, workerSelector);
 		this.loadLogger = new LoadLogger(this.state, timeOfDay);
 		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter,
 				new PlaceWaitTracker(this.state, workerSelector, this.state.runTimes.predictor()));
@@ -354,6 +357,7 @@
 		this.utilization.update(now);
 		this.placementPass.reorder(now);
 		this.evacuator.evacuate(now);
+		this.pausedRunMover.review(now);
 		this.loadLogger.logIfDue(now);
 		for (Worker worker : this.state.workers.values()) {
 			this.stragglerDetector.check(worker, now);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -56,6 +56,9 @@
 	 */
 	boolean speedConfirmed = true;
 
+	/** Since when the run is paused, in milliseconds; negative if it is not. */
+	long pausedSince = -1;
+
 	boolean speedChangeInFlight;
 
 	/** The work done before the speed last changed, in milliseconds at full speed. */
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerFeature.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerFeature.java
@@ -14,17 +14,14 @@
 	/** Queues that compete for capacity get weighted shares of it. */
 	WEIGHTED_SHARES,
 
-	/** Jobs that cannot be of use any more are refused at once. */
-	ADMISSION_CONTROL,
-
 	/** Tasks wait for a place near their data or their group while the wait pays. */
 	PLACE_WAITS,
 
 	/** Speed and failure rate of each VM are learned and used for placement. */
 	WORKER_PROFILES,
 
-	/** The demand of the next seconds is forecast and capacity is kept for it. */
-	DEMAND_FORECAST;
+	/** Best-effort runs that stay paused move to VMs on which they can work. */
+	PAUSED_RUN_MOVES;
 
 	/**
 	 * Returns the name of the feature in settings.
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -61,6 +61,9 @@
 	 */
 	long lateDueAt;
 
+	/** The earliest time of the next move to another VM, in milliseconds. */
+	long nextMoveAt;
+
 	/** When the task last began to wait, in milliseconds. */
 	long waitingSince;
 
