Rename the events that charge the timers of tasks

Cause: RunTimes stood beside RunTimeRecorder and LearnedRunTimes and means something else. Change: TaskTimerEvents; no other change.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
@@ -80,7 +80,7 @@
 			}
 			for (Task task : step.tasks) {
 				task.dueAt = job.latestStart(step.number, (occurrence == 0) ? job.knownSince : now);
-				RunTimes.released(task, now);
+				TaskTimerEvents.released(task, now);
 				task.lateDueAt = task.dueAt + (LATE_FACTOR - 1) * job.objectiveMillis();
 				if (task.startable()) {
 					this.state.addWaiting(task);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -165,7 +165,7 @@
 		for (StepState step : steps) {
 			for (Task task : step.tasks) {
 				task.possiblyRunning = !task.done;
-				RunTimes.takenOver(task, now);
+				TaskTimerEvents.takenOver(task, now);
 			}
 		}
 		this.progression.releaseReadySteps(job, occurrence, now);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -158,7 +158,7 @@
 		run.percent = reported.percent();
 		run.checkpoint = reported.checkpoint();
 		run.measurement = reported.measurement();
-		RunTimes.charge(run, now);
+		TaskTimerEvents.charge(run, now);
 	}
 
 	private Run adoptOrStop(Worker worker, TaskReport.Running reported, long now) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
@@ -39,7 +39,7 @@
 		task.lastRun = number;
 		task.suspicion.forgetPredecessorsPlan();
 		task.runs.add(run);
-		RunTimes.starting(run, now);
+		TaskTimerEvents.starting(run, now);
 		worker.add(run);
 		worker.startsSinceAvoided++;
 		if (task.spec().traits().longRunning()) {
@@ -80,7 +80,7 @@
 	void markRunning(Run run, long now) {
 		run.enterPhase(Run.Phase.RUNNING, now);
 		run.progressedAt = now;
-		RunTimes.confirmed(run, now);
+		TaskTimerEvents.confirmed(run, now);
 		Job job = run.task.job;
 		if (job.state == JobState.QUEUED) {
 			job.state = JobState.RUNNING;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunTimes.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TaskTimerEvents.java
@@ -6,13 +6,13 @@
  * The events of runs that the timers of their tasks are told. Copies of a run are not
  * charged, since they run beside it.
  */
-final class RunTimes {
+final class TaskTimerEvents {
 
 	private static final double FULL_USE = 1;
 
 	private static final int WORKING_PERCENT = 100;
 
-	private RunTimes() {
+	private TaskTimerEvents() {
 	}
 
 	static void released(Task task, long now) {
