--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/InterferenceModel.java
@@ -112,24 +112,17 @@
 	}
 
 	/**
-	 * Continues with what a predecessor learned. Sensitivities of unknown weight become
-	 * priors.
+	 * Uses the sensitivities that a predecessor learned as priors, so that a wrong one is
+	 * given up after a few observations. The bases and weights of the snapshot are not
+	 * used.
 	 * @param snapshot the snapshot of the predecessor
 	 */
 	void restore(InterferenceSnapshot snapshot) {
-		for (InterferenceSnapshot.Base base : snapshot.bases()) {
-			modelOf(base.servingImage()).base = base.logRatio();
-		}
 		for (InterferenceSnapshot.Pair pair : snapshot.pairs()) {
 			this.bestEffortImages.putIfAbsent(pair.bestEffortImage(), this.bestEffortImages.size());
 			int index = this.bestEffortImages.get(pair.bestEffortImage());
 			RidgeRegression regression = modelOf(pair.servingImage()).regression;
-			if (pair.weight() > 0) {
-				regression.restore(index, pair.sensitivity(), pair.weight());
-			}
-			else {
-				regression.setPrior(index, pair.sensitivity());
-			}
+			regression.setPrior(index, Math.max(0, pair.sensitivity()));
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RidgeRegression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RidgeRegression.java
@@ -98,20 +98,6 @@
 		return weights;
 	}
 
-	/**
-	 * Replaces the observations of one coefficient by the result of earlier ones.
-	 * @param index the index of the coefficient
-	 * @param value the value of the coefficient
-	 * @param weight its weight, as returned by {@link #weights}
-	 */
-	void restore(int index, double value, double weight) {
-		resize(index + 1);
-		double observed = Math.max(0, weight - this.priorWeight);
-		this.squares[index][index] = observed;
-		this.products[index] = (observed + this.priorWeight) * value - this.priorWeight * priorOf(index);
-		this.stale = true;
-	}
-
 	private double priorOf(int index) {
 		return (index < this.priors.length) ? this.priors[index] : this.prior;
 	}
