--- a/review/standin/Harness.java
+++ b/review/standin/Harness.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.net.BindException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -12,6 +13,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -33,6 +35,10 @@
 
 	private static final long LIMIT_MILLIS = 112_000;
 
+	private static final int FIRST_PORT = 14_000;
+
+	private static final int LAST_PORT = 32_000;
+
 	private static final String HOST = "127.0.0.1";
 
 	final Store store;
@@ -222,10 +228,19 @@
 		throw new IOException("no run line in the deploy file");
 	}
 
+	// Below the usual range of the ports of outgoing connections, so that none of these
+	// takes the port before the process listens on it.
 	private static int freePort() throws IOException {
-		try (ServerSocket socket = new ServerSocket(0)) {
-			return socket.getLocalPort();
+		for (int attempt = 0; attempt < 100; attempt++) {
+			int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+			try (ServerSocket socket = new ServerSocket(port)) {
+				return socket.getLocalPort();
+			}
+			catch (BindException ex) {
+				// In use; tries another one.
+			}
 		}
+		throw new IOException("no free port");
 	}
 
 	/** Writes the configuration: one service, and a queue for each prefix given. */
--- a/review/standin/ManyEnds.java
+++ b/review/standin/ManyEnds.java
@@ -7,7 +7,7 @@
  */
 final class ManyEnds {
 
-	private static final int TASKS = 3000;
+	private static final int TASKS = 6000;
 
 	private static final long OUTAGE_MILLIS = 4200;
 
@@ -26,7 +26,7 @@
 		harness.startNodes(3);
 		harness.awaitLeader();
 		Thread.sleep(2000);
-		Jobs.Job job = Jobs.create("wide", new Jobs.Step().size(TASKS, 500, 64).work(300));
+		Jobs.Job job = Jobs.create("wide", new Jobs.Step().size(TASKS, 500, 64).work(150));
 		if (!harness.submit(job)) {
 			harness.finish(Harness.NOT_RUN, "the job was not accepted");
 		}
