Log the cause of each end of a process

Cause: a broken invariant halted the process without a structured line and without the lines that were still queued, SIGINT was not handled, and process-stopped told neither the cause nor what was in flight, so that the hypotheses on requests cut at the end of a process could not be told apart.

An output that nobody reads delays an exit by 250 ms at most.

--- a/control/src/main/java/io/lentilstream/control/FatalErrors.java
+++ b/control/src/main/java/io/lentilstream/control/FatalErrors.java
@@ -1,5 +1,8 @@
 package io.lentilstream.control;
 
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+
 import io.netty.handler.codec.CodecException;
 
 /**
@@ -8,21 +11,41 @@
  */
 public final class FatalErrors {
 
-	private static final int EXIT_STATUS = 3;
+	/** The exit status after a broken invariant. */
+	public static final int EXIT_STATUS = 3;
+
+	private static final AtomicBoolean HALTING = new AtomicBoolean();
+
+	private static volatile Consumer<Throwable> lastAction = (cause) -> {
+	};
 
 	private FatalErrors() {
 	}
 
+	/**
+	 * Sets what is done before the process halts. It runs on the event loop, on which no
+	 * other work runs any more, and must not rely on the state of other parts.
+	 * @param action takes the exception that ends the process
+	 */
+	public static void beforeHalt(Consumer<Throwable> action) {
+		lastAction = action;
+	}
+
 	/**
 	 * Halts the process unless the exception was caused by a connection or by bytes that
 	 * a peer sent.
 	 * @param cause the exception
 	 */
 	public static void haltIfFatal(Throwable cause) {
-		if (cause instanceof RuntimeException && !(cause instanceof CodecException) || cause instanceof Error) {
-			cause.printStackTrace();
-			Runtime.getRuntime().halt(EXIT_STATUS);
+		boolean fatal = cause instanceof RuntimeException && !(cause instanceof CodecException)
+				|| cause instanceof Error;
+		if (!fatal || !HALTING.compareAndSet(false, true)) {
+			return;
 		}
+		ProcessExit.halt(EXIT_STATUS, () -> {
+			cause.printStackTrace();
+			lastAction.accept(cause);
+		});
 	}
 
 }
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/ProcessExit.java
@@ -0,0 +1,43 @@
+package io.lentilstream.control;
+
+/**
+ * The exit of the process. Shutdown hooks do not run.
+ */
+public final class ProcessExit {
+
+	/**
+	 * How long an output that is not read may delay the exit, in milliseconds.
+	 */
+	private static final long MAX_LAST_ACTION_MILLIS = 250;
+
+	private ProcessExit() {
+	}
+
+	/**
+	 * Halts the process after a last action, or while that takes too long.
+	 * @param status the exit status
+	 * @param lastAction what is still done, such as writing the log
+	 */
+	public static void halt(int status, Runnable lastAction) {
+		try {
+			Thread limit = new Thread(() -> haltLater(status), "exit-limit");
+			limit.setDaemon(true);
+			limit.start();
+			lastAction.run();
+		}
+		finally {
+			Runtime.getRuntime().halt(status);
+		}
+	}
+
+	private static void haltLater(int status) {
+		try {
+			Thread.sleep(MAX_LAST_ACTION_MILLIS);
+		}
+		catch (InterruptedException ex) {
+			Thread.currentThread().interrupt();
+		}
+		Runtime.getRuntime().halt(status);
+	}
+
+}
--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -109,15 +109,17 @@
 	}
 
 	/**
-	 * Counts the requests that have no response yet.
-	 * @return the number of requests
+	 * Returns the requests that have no response yet.
+	 * @return their number, and the oldest
 	 */
-	public int inFlight() {
-		int count = 0;
+	public RequestsInFlight inFlight() {
+		RequestsInFlight found = RequestsInFlight.NONE;
 		for (ClientConnection connection : this.connections) {
-			count += connection.busy ? 1 : 0;
+			if (connection.busy) {
+				found = found.with(System.nanoTime() - connection.receivedAt, connection.description);
+			}
 		}
-		return count;
+		return found;
 	}
 
 	/**
@@ -130,6 +132,11 @@
 
 		private boolean busy;
 
+		/** When the request that is handled was received, in {@link System#nanoTime}. */
+		private long receivedAt;
+
+		private String description;
+
 		@Override
 		public void channelActive(ChannelHandlerContext handlerContext) {
 			this.context = handlerContext;
@@ -144,6 +151,8 @@
 		@Override
 		protected void channelRead0(ChannelHandlerContext handlerContext, FullHttpRequest request) {
 			this.busy = true;
+			this.receivedAt = System.nanoTime();
+			this.description = request.method() + " " + request.uri();
 			// Responses must not overtake each other on a connection.
 			handlerContext.channel().config().setAutoRead(false);
 			boolean keepAlive = HttpUtil.isKeepAlive(request);
