Answer each received request before its process ends

Callers saw connections that ended without an answer: cancellations that waited for the leader's guarantee when their process exited after SIGTERM, all requests in flight when a broken invariant halted it, and requests that waited behind another on a connection that a shutdown closed.

Cause: whoever ended the process did not know what had been received and not answered. The exit had a deadline that no request knew, a halt took none along, and a draining connection closed behind one answer whatever else had been read from it.

Connections that arrive together are handled in a loop instead of nested calls.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -15,6 +15,7 @@
 import io.lentilstream.control.leadership.Leadership;
 import io.lentilstream.control.peers.LeaderConnection;
 import io.lentilstream.control.peers.PeerServer;
+import io.lentilstream.control.shutdown.GracefulShutdown;
 import io.lentilstream.control.store.PrefixWatcher;
 import io.lentilstream.control.store.StoredItem;
 import io.lentilstream.control.term.Term;
@@ -27,7 +28,7 @@
  * A control process without its HTTP endpoints. It watches the configuration and the
  * leader, and schedules jobs while it is the leader itself.
  */
-public final class ControlNode {
+public final class ControlNode implements GracefulShutdown.Leader {
 
 	/** Time without a reply from the store after which this process is not ready. */
 	private static final long MAX_STORE_SILENCE_MILLIS = 2500;
@@ -107,6 +108,7 @@
 	 * Resigns permanently from leadership and reports not ready from then on. Requests
 	 * are still answered.
 	 */
+	@Override
 	public void drain() {
 		this.draining = true;
 		this.leadership.resign("shutdown", true);
@@ -117,6 +119,7 @@
 	 * lease of this one.
 	 * @return {@code false} while the store has not confirmed the end of the lease
 	 */
+	@Override
 	public boolean released() {
 		return this.leadership.released();
 	}
--- a/control/src/main/java/io/lentilstream/control/http/HttpHandler.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpHandler.java
@@ -11,6 +11,12 @@
 @FunctionalInterface
 public interface HttpHandler {
 
+	/** The status of a server that cannot handle a request now. */
+	int UNAVAILABLE = 503;
+
+	/** When to ask another process, in seconds. */
+	int RETRY_AFTER_SECONDS = 1;
+
 	/**
 	 * Handles a request. The response may be given later.
 	 * @param request the request
@@ -18,6 +24,16 @@
 	 */
 	void handle(Request request, Consumer<Response> responder);
 
+	/**
+	 * Returns the response to a request that is still handled, or waits to be, when the
+	 * process ends. It must be true whatever becomes of the request.
+	 * @param request the request
+	 * @return the response
+	 */
+	default Response unfinished(Request request) {
+		return new Response(UNAVAILABLE, new byte[0], RETRY_AFTER_SECONDS);
+	}
+
 	/**
 	 * A complete request.
 	 *
--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -1,12 +1,15 @@
 package io.lentilstream.control.http;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.TimeUnit;
 
 import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFutureListener;
@@ -25,16 +28,15 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
-import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
-import io.netty.handler.flow.FlowControlHandler;
 
 import io.lentilstream.control.FatalErrors;
+import io.lentilstream.control.shutdown.GracefulShutdown;
 
 /**
  * An HTTP server. All methods must be called on the event loop.
  */
-public final class HttpServer {
+public final class HttpServer implements GracefulShutdown.Server {
 
 	private static final int BACKLOG = 1024;
 
@@ -46,6 +48,12 @@
 
 	private static final int BAD_REQUEST = 400;
 
+	/**
+	 * How long a connection is kept after its last response for a client that does not
+	 * close it, in milliseconds.
+	 */
+	private static final long MAX_LINGER_MILLIS = 500;
+
 	private final HttpHandler handler;
 
 	private final int maxBodyBytes;
@@ -83,59 +91,92 @@
 				protected void initChannel(SocketChannel channel) {
 					channel.pipeline()
 						.addLast(new HttpServerCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-								new HttpObjectAggregator(HttpServer.this.maxBodyBytes), new FlowControlHandler(),
-								new ClientConnection());
+								new HttpObjectAggregator(HttpServer.this.maxBodyBytes), new ClientConnection());
 				}
 			});
 		this.serverChannel = bootstrap.bind(address).sync().channel();
 	}
 
 	/**
-	 * Drains the connections: idle ones close now, others after their next response.
+	 * Closes each connection after its next response from now on, so that callers look
+	 * for another server while this one still answers.
 	 */
-	public void drain() {
+	@Override
+	public void closeAfterResponses() {
 		this.draining = true;
-		List.copyOf(this.connections).forEach(ClientConnection::closeIfIdle);
 	}
 
 	/**
-	 * Stops listening, and drains the connections.
+	 * Stops listening, and closes idle connections. Requests that have been received are
+	 * still answered.
 	 */
+	@Override
 	public void stop() {
+		this.draining = true;
 		if (this.serverChannel != null) {
 			this.serverChannel.close();
 		}
-		drain();
+		List.copyOf(this.connections).forEach(ClientConnection::closeIfIdle);
+	}
+
+	/**
+	 * Answers all requests that have been received, whatever they wait for. Responses
+	 * that are given later are ignored.
+	 * @return the number of requests
+	 */
+	@Override
+	public int answerUnfinished() {
+		this.draining = true;
+		int count = 0;
+		for (ClientConnection connection : List.copyOf(this.connections)) {
+			count += connection.answerUnfinished();
+		}
+		return count;
 	}
 
 	/**
 	 * Returns the requests that have no response yet.
 	 * @return their number, and the oldest
 	 */
+	@Override
 	public RequestsInFlight inFlight() {
 		RequestsInFlight found = RequestsInFlight.NONE;
 		for (ClientConnection connection : this.connections) {
-			if (connection.busy) {
-				found = found.with(System.nanoTime() - connection.receivedAt, connection.description);
+			for (ReceivedRequest received : connection.unanswered()) {
+				found = found.with(System.nanoTime() - received.receivedAtNanos(), received.description());
 			}
 		}
 		return found;
 	}
 
 	/**
-	 * A connection from a client. Its requests are handled one at a time: further ones
-	 * that have been received already wait in the {@link FlowControlHandler}.
+	 * Returns whether all responses have been handed to the operating system.
+	 * @return {@code false} if a response waits for a caller that does not read
+	 */
+	@Override
+	public boolean responsesSent() {
+		return this.connections.stream().allMatch((connection) -> connection.unsentResponses == 0);
+	}
+
+	/**
+	 * A connection from a client. Its requests are handled one at a time, and further
+	 * ones that have been received wait, since responses must not overtake each other.
 	 */
 	private final class ClientConnection extends SimpleChannelInboundHandler<FullHttpRequest> {
 
+		private final Deque<ReceivedRequest> waiting = new ArrayDeque<>();
+
 		private ChannelHandlerContext context;
 
-		private boolean busy;
+		/** The request that is handled; {@code null} if there is none. */
+		private ReceivedRequest current;
+
+		private boolean dispatching;
 
-		/** When the request that is handled was received, in {@link System#nanoTime}. */
-		private long receivedAt;
+		/** Whether the last response of this connection has been given. */
+		private boolean closing;
 
-		private String description;
+		private int unsentResponses;
 
 		@Override
 		public void channelActive(ChannelHandlerContext handlerContext) {
@@ -146,31 +187,56 @@
 		@Override
 		public void channelInactive(ChannelHandlerContext handlerContext) {
 			HttpServer.this.connections.remove(this);
+			this.waiting.clear();
 		}
 
 		@Override
 		protected void channelRead0(ChannelHandlerContext handlerContext, FullHttpRequest request) {
-			this.busy = true;
-			this.receivedAt = System.nanoTime();
-			this.description = request.method() + " " + request.uri();
-			// Responses must not overtake each other on a connection.
-			handlerContext.channel().config().setAutoRead(false);
-			boolean keepAlive = HttpUtil.isKeepAlive(request);
-			if (request.decoderResult().isFailure()) {
-				respond(HttpHandler.Response.of(BAD_REQUEST), false);
+			if (!this.closing) {
+				this.waiting.add(new ReceivedRequest(request, System.nanoTime()));
+				dispatch();
+			}
+		}
+
+		// A loop, since requests that are answered at once would otherwise nest.
+		private void dispatch() {
+			if (this.dispatching) {
+				return;
+			}
+			this.dispatching = true;
+			while (this.current == null && !this.waiting.isEmpty() && !this.closing) {
+				this.current = this.waiting.poll();
+				handle(this.current);
+			}
+			if (this.closing) {
+				this.waiting.clear();
+			}
+			this.dispatching = false;
+			this.context.channel().config().setAutoRead(this.current == null);
+		}
+
+		private void handle(ReceivedRequest request) {
+			if (request.malformed()) {
+				respond(request, HttpHandler.Response.of(BAD_REQUEST));
 				return;
 			}
-			HttpHandler.Request fullRequest = new HttpHandler.Request(request.method(), request.uri(),
-					request.headers().copy(), ByteBufUtil.getBytes(request.content()));
-			HttpServer.this.handler.handle(fullRequest, (response) -> respond(response, keepAlive));
+			HttpServer.this.handler.handle(request.content(), (response) -> {
+				if (!request.abandoned()) {
+					respond(request, response);
+				}
+			});
 		}
 
-		private void respond(HttpHandler.Response response, boolean keepAlive) {
-			if (!this.busy) {
+		private void respond(ReceivedRequest request, HttpHandler.Response response) {
+			if (this.current != request) {
 				throw new IllegalStateException("request was answered twice");
 			}
-			this.busy = false;
-			boolean keepOpen = keepAlive && !HttpServer.this.draining;
+			this.current = null;
+			send(response, !request.keepAlive() || HttpServer.this.draining && this.waiting.isEmpty());
+			dispatch();
+		}
+
+		private void send(HttpHandler.Response response, boolean last) {
 			FullHttpResponse message = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
 					HttpResponseStatus.valueOf(response.status()), Unpooled.wrappedBuffer(response.body()));
 			message.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
@@ -180,19 +246,52 @@
 			if (response.retryAfterSeconds() > 0) {
 				message.headers().set(HttpHeaderNames.RETRY_AFTER, response.retryAfterSeconds());
 			}
-			if (!keepOpen) {
+			if (last) {
 				message.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+				this.closing = true;
 			}
+			this.unsentResponses++;
 			this.context.writeAndFlush(message).addListener((written) -> {
-				if (!keepOpen) {
-					this.context.close();
+				this.unsentResponses--;
+				if (last) {
+					closeOnceRead();
 				}
 			});
-			this.context.channel().config().setAutoRead(true);
+		}
+
+		// Closing a connection with bytes that were not read resets it, and a reset can
+		// discard the last response on its way.
+		private void closeOnceRead() {
+			SocketChannel channel = (SocketChannel) this.context.channel();
+			channel.shutdownOutput();
+			channel.config().setAutoRead(true);
+			channel.eventLoop().schedule(() -> channel.close(), MAX_LINGER_MILLIS, TimeUnit.MILLISECONDS);
+		}
+
+		private int answerUnfinished() {
+			List<ReceivedRequest> requests = unanswered();
+			this.current = null;
+			this.waiting.clear();
+			for (int i = 0; i < requests.size() && !this.closing; i++) {
+				ReceivedRequest request = requests.get(i);
+				request.abandon();
+				HttpHandler.Response response = request.malformed() ? HttpHandler.Response.of(BAD_REQUEST)
+						: HttpServer.this.handler.unfinished(request.content());
+				send(response, !request.keepAlive() || i == requests.size() - 1);
+			}
+			return requests.size();
+		}
+
+		private List<ReceivedRequest> unanswered() {
+			List<ReceivedRequest> requests = new ArrayList<>(this.waiting);
+			if (this.current != null) {
+				requests.add(0, this.current);
+			}
+			return requests;
 		}
 
 		private void closeIfIdle() {
-			if (!this.busy) {
+			if (this.current == null && this.waiting.isEmpty() && !this.closing) {
 				this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 			}
 		}
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/shutdown/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * The end of a process that is asked to stop.
+ */
+package io.lentilstream.control.shutdown;
--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -1,5 +1,6 @@
 package io.lentilstream.control.http;
 
+import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -11,6 +12,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -25,8 +27,16 @@
 
 	private static final int OK = 200;
 
+	private static final String END_OF_HEAD = "\r\n\r\n";
+
+	private static final int MANY = 5000;
+
+	private static final int MAX_BODY_BYTES = 200_000;
+
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
+	private HttpServer server;
+
 	private final List<String> handled = Collections.synchronizedList(new ArrayList<>());
 
 	@AfterEach
@@ -56,21 +66,80 @@
 		assertThat(responses.indexOf("/first")).isLessThan(responses.indexOf("/second"));
 	}
 
+	@Test
+	void manyRequestsThatArriveTogetherAreAnswered() throws IOException, InterruptedException {
+		String responses = send(get("/").repeat(MANY), MANY, (uri, responder) -> responder.run());
+		assertThat(responses.split("HTTP/1.1 200", -1)).hasSize(MANY + 1);
+	}
+
+	// Guards against received requests that are dropped by a shutdown.
+	@Test
+	void requestsThatWaitAreAnsweredBeforeAStoppingServerClosesTheirConnection()
+			throws IOException, InterruptedException {
+		String responses = send(get("/first") + get("/second") + get("/third"), 3, (uri, responder) -> {
+			this.server.stop();
+			respondLater(uri, responder);
+		});
+		assertThat(this.handled).containsExactly("/first", "/second", "/third");
+		assertThat(responses.split("connection: close", -1)).hasSize(2);
+	}
+
+	@Test
+	void aDrainingServerClosesEachConnectionAfterItsNextResponse() throws IOException, InterruptedException {
+		String responses = send(get("/first"), 1, (uri, responder) -> {
+			this.server.closeAfterResponses();
+			responder.run();
+		});
+		assertThat(responses).contains("connection: close");
+	}
+
+	// Guards against requests that are cut by the end of their process.
+	@Test
+	void requestsThatWaitForTheirHandlerAreAnsweredWhenTheProcessEnds() throws IOException, InterruptedException {
+		AtomicInteger answered = new AtomicInteger();
+		String responses = send(get("/first") + get("/second"), 2, (uri, responder) -> this.group
+			.schedule(() -> answered.set(this.server.answerUnfinished()), 50, TimeUnit.MILLISECONDS));
+		assertThat(answered).hasValue(2);
+		assertThat(responses.split("HTTP/1.1 503", -1)).hasSize(3);
+		assertThat(responses.split("connection: close", -1)).hasSize(2);
+	}
+
+	@Test
+	void aResponseAfterTheEndOfItsRequestIsIgnored() throws IOException, InterruptedException {
+		String responses = send(get("/first"), 1, (uri, responder) -> this.group.execute(() -> {
+			this.server.answerUnfinished();
+			responder.run();
+		}));
+		assertThat(responses).contains("HTTP/1.1 503").doesNotContain("HTTP/1.1 200");
+	}
+
+	@Test
+	void theLastResponseArrivesAlthoughTheClientSendsMore() throws IOException, InterruptedException {
+		String responses = send(
+				get("/first") + "POST / HTTP/1.1\r\nContent-Length: 100000\r\n\r\n" + "x".repeat(90_000), 1,
+				(uri, responder) -> this.group.schedule(() -> {
+					this.server.closeAfterResponses();
+					responder.run();
+				}, 100, TimeUnit.MILLISECONDS));
+		assertThat(responses).contains("HTTP/1.1 200").contains("connection: close");
+	}
+
 	private void respondLater(String uri, Runnable responder) {
 		this.group.schedule(responder, 50, TimeUnit.MILLISECONDS);
 	}
 
 	private String send(String bytes, int responses, Answering answering) throws IOException, InterruptedException {
 		InetSocketAddress address = freeAddress();
-		new HttpServer((request, responder) -> {
+		this.server = new HttpServer((request, responder) -> {
 			this.handled.add(request.uri());
 			answering.answer(request.uri(), () -> respond(request.uri(), responder));
-		}, 1000).listen(this.group, address);
+		}, MAX_BODY_BYTES);
+		this.server.listen(this.group, address);
 		try (Socket socket = new Socket()) {
 			socket.setSoTimeout(TIMEOUT_MILLIS);
 			socket.connect(address, TIMEOUT_MILLIS);
 			socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
-			return read(socket.getInputStream(), responses);
+			return read(new BufferedInputStream(socket.getInputStream()), responses);
 		}
 	}
 
@@ -80,16 +149,27 @@
 
 	private static String read(InputStream input, int responses) throws IOException {
 		StringBuilder received = new StringBuilder();
-		while (received.chars().filter((character) -> character == ';').count() < responses) {
-			int next = input.read();
-			if (next < 0) {
-				throw new IOException("closed after: " + received);
+		for (int i = 0; i < responses; i++) {
+			int from = received.length();
+			while (received.indexOf(END_OF_HEAD, from) < 0) {
+				receive(input, received);
+			}
+			boolean hasBody = received.indexOf("content-type", from) >= 0;
+			while (hasBody && received.charAt(received.length() - 1) != ';') {
+				receive(input, received);
 			}
-			received.append((char) next);
 		}
 		return received.toString();
 	}
 
+	private static void receive(InputStream input, StringBuilder received) throws IOException {
+		int next = input.read();
+		if (next < 0) {
+			throw new IOException("closed after: " + received);
+		}
+		received.append((char) next);
+	}
+
 	private static String get(String uri) {
 		return "GET " + uri + " HTTP/1.1\r\nHost: localhost\r\n\r\n";
 	}
