Read what waits on a connection before its last response

Cause: a connection was not read while a request was handled, so requests that had arrived later than the first were unknown when the last response was chosen. Change: a connection is read while at most 64 KiB wait, and a client that closes its output still receives its responses.

--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -18,6 +18,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -48,6 +49,12 @@
 
 	private static final int BAD_REQUEST = 400;
 
+	/**
+	 * The size of the requests that wait behind another from which on a connection is not
+	 * read, in bytes.
+	 */
+	private static final int MAX_WAITING_BYTES = 65_536;
+
 	/**
 	 * How long a connection is kept after its last response for a client that does not
 	 * close it, in milliseconds.
@@ -86,6 +93,8 @@
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
+			// A client that has sent its last request still reads the responses.
+			.childOption(ChannelOption.ALLOW_HALF_CLOSURE, true)
 			.childHandler(new ChannelInitializer<SocketChannel>() {
 				@Override
 				protected void initChannel(SocketChannel channel) {
@@ -173,6 +182,11 @@
 
 		private boolean dispatching;
 
+		private int waitingBytes;
+
+		/** Whether the client sends no more requests. */
+		private boolean inputClosed;
+
 		/** Whether the last response of this connection has been given. */
 		private boolean closing;
 
@@ -190,10 +204,23 @@
 			this.waiting.clear();
 		}
 
+		@Override
+		public void userEventTriggered(ChannelHandlerContext handlerContext, Object event) {
+			if (!(event instanceof ChannelInputShutdownEvent)) {
+				return;
+			}
+			this.inputClosed = true;
+			if (this.closing || this.current == null) {
+				handlerContext.close();
+			}
+		}
+
 		@Override
 		protected void channelRead0(ChannelHandlerContext handlerContext, FullHttpRequest request) {
 			if (!this.closing) {
-				this.waiting.add(new ReceivedRequest(request, System.nanoTime()));
+				ReceivedRequest received = new ReceivedRequest(request, System.nanoTime());
+				this.waiting.add(received);
+				this.waitingBytes += received.size();
 				dispatch();
 			}
 		}
@@ -206,13 +233,14 @@
 			this.dispatching = true;
 			while (this.current == null && !this.waiting.isEmpty() && !this.closing) {
 				this.current = this.waiting.poll();
+				this.waitingBytes -= this.current.size();
 				handle(this.current);
 			}
 			if (this.closing) {
 				this.waiting.clear();
 			}
 			this.dispatching = false;
-			this.context.channel().config().setAutoRead(this.current == null);
+			this.context.channel().config().setAutoRead(this.closing || this.waitingBytes < MAX_WAITING_BYTES);
 		}
 
 		private void handle(ReceivedRequest request) {
@@ -232,7 +260,8 @@
 				throw new IllegalStateException("request was answered twice");
 			}
 			this.current = null;
-			send(response, !request.keepAlive() || HttpServer.this.draining && this.waiting.isEmpty());
+			boolean ending = HttpServer.this.draining || this.inputClosed;
+			send(response, !request.keepAlive() || ending && this.waiting.isEmpty());
 			dispatch();
 		}
 
@@ -263,8 +292,11 @@
 		// discard the last response on its way.
 		private void closeOnceRead() {
 			SocketChannel channel = (SocketChannel) this.context.channel();
+			if (this.inputClosed) {
+				channel.close();
+				return;
+			}
 			channel.shutdownOutput();
-			channel.config().setAutoRead(true);
 			channel.eventLoop().schedule(() -> channel.close(), MAX_LINGER_MILLIS, TimeUnit.MILLISECONDS);
 		}
 
--- a/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
+++ b/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
@@ -9,6 +9,9 @@
  */
 final class ReceivedRequest {
 
+	/** The memory that a request takes beside its body, in bytes. */
+	private static final int HEAD_BYTES = 512;
+
 	private final HttpHandler.Request content;
 
 	private final boolean keepAlive;
@@ -51,6 +54,14 @@
 		return this.receivedAtNanos;
 	}
 
+	/**
+	 * Returns about how much memory the request takes.
+	 * @return the size in bytes
+	 */
+	int size() {
+		return HEAD_BYTES + this.content.body().length;
+	}
+
 	String description() {
 		return this.content.method() + " " + this.content.uri();
 	}
--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -8,11 +8,12 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 
 import io.netty.channel.nio.NioEventLoopGroup;
@@ -37,6 +38,8 @@
 
 	private HttpServer server;
 
+	private boolean halfCloses;
+
 	private final List<String> handled = Collections.synchronizedList(new ArrayList<>());
 
 	@AfterEach
@@ -84,6 +87,23 @@
 		assertThat(responses.split("connection: close", -1)).hasSize(2);
 	}
 
+	@Test
+	void aRequestThatArrivesBehindAnotherIsAnsweredBeforeADrainingServerClosesTheConnection()
+			throws IOException, InterruptedException {
+		String responses = send(get("/first") + get("/" + "x".repeat(4000)), 2, (uri, responder) -> {
+			this.server.closeAfterResponses();
+			this.group.schedule(responder, 200, TimeUnit.MILLISECONDS);
+		});
+		assertThat(responses.split("HTTP/1.1 200", -1)).hasSize(3);
+	}
+
+	@Test
+	void aClientThatSendsNoMoreStillReceivesTheResponses() throws IOException, InterruptedException {
+		this.halfCloses = true;
+		String responses = send(get("/first") + get("/second"), 2, this::respondLater);
+		assertThat(responses).contains("/first", "/second");
+	}
+
 	@Test
 	void aDrainingServerClosesEachConnectionAfterItsNextResponse() throws IOException, InterruptedException {
 		String responses = send(get("/first"), 1, (uri, responder) -> {
@@ -96,10 +116,10 @@
 	// Guards against requests that are cut by the end of their process.
 	@Test
 	void requestsThatWaitForTheirHandlerAreAnsweredWhenTheProcessEnds() throws IOException, InterruptedException {
-		AtomicInteger answered = new AtomicInteger();
+		CompletableFuture<Integer> answered = new CompletableFuture<>();
 		String responses = send(get("/first") + get("/second"), 2, (uri, responder) -> this.group
-			.schedule(() -> answered.set(this.server.answerUnfinished()), 50, TimeUnit.MILLISECONDS));
-		assertThat(answered).hasValue(2);
+			.schedule(() -> answered.complete(this.server.answerUnfinished()), 50, TimeUnit.MILLISECONDS));
+		assertThat(answered).succeedsWithin(Duration.ofMillis(TIMEOUT_MILLIS)).isEqualTo(2);
 		assertThat(responses.split("HTTP/1.1 503", -1)).hasSize(3);
 		assertThat(responses.split("connection: close", -1)).hasSize(2);
 	}
@@ -139,6 +159,9 @@
 			socket.setSoTimeout(TIMEOUT_MILLIS);
 			socket.connect(address, TIMEOUT_MILLIS);
 			socket.getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+			if (this.halfCloses) {
+				socket.shutdownOutput();
+			}
 			return read(new BufferedInputStream(socket.getInputStream()), responses);
 		}
 	}
