Test that requests waiting on a connection are not handled within a response

Cause: HttpServer.respond sets autoRead, which makes FlowControlHandler pass on the next request that waits, within the response to the one before.

This test fails on the current code: 40 requests are nested.

--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -11,7 +11,10 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
@@ -56,6 +59,24 @@
 		assertThat(responses.indexOf("/first")).isLessThan(responses.indexOf("/second"));
 	}
 
+	// Callers may send hundreds of requests at once, and the stack of a thread is small.
+	@Test
+	void requestsThatWaitForAResponseAreNotHandledWithinIt() throws IOException, InterruptedException {
+		AtomicInteger nested = new AtomicInteger();
+		AtomicInteger mostNested = new AtomicInteger();
+		String waiting = IntStream.range(0, 40).mapToObj((number) -> get("/" + number)).collect(Collectors.joining());
+		send(get("/first") + waiting, 41, (uri, responder) -> {
+			if (uri.equals("/first")) {
+				respondLater(uri, responder);
+				return;
+			}
+			mostNested.accumulateAndGet(nested.incrementAndGet(), Math::max);
+			responder.run();
+			nested.decrementAndGet();
+		});
+		assertThat(mostNested).hasValue(1);
+	}
+
 	private void respondLater(String uri, Runnable responder) {
 		this.group.schedule(responder, 50, TimeUnit.MILLISECONDS);
 	}
