Test that malformed frames of peers do not end the process

Cause: three kinds of frames throw past what the handler of a connection takes for malformed, and so halt the process: content whose length exceeds its frame (OutOfMemoryError), CANCELLED, ASK_STATE or SUBMITTED with an invalid id, and a submission for a service with an invalid name (both IllegalArgumentException).

--- a/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
@@ -8,6 +8,8 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 import io.lentilstream.control.ManualEventLoop;
 import io.lentilstream.control.peers.LeaderConnection;
@@ -148,4 +150,12 @@
 		assertThat(this.service.handleFrame(PeerFrame.of(PeerFrame.Kind.CANCELLED, 0, "job-1"))).isNull();
 	}
 
+	@ParameterizedTest
+	@EnumSource(names = { "ASK_STATE", "SUBMITTED", "CANCELLED" })
+	void aFrameAboutAJobWithAnInvalidIdReceivesNoReply(PeerFrame.Kind kind) {
+		for (String subject : List.of("", "job 1", "x".repeat(200))) {
+			assertThat(this.service.handleFrame(PeerFrame.of(kind, 7, subject))).isNull();
+		}
+	}
+
 }
