Treat malformed frames of peers as malformed

Change: the content of a frame is at most as long as the rest of the frame; frames about a job with an invalid id have no reply and one log line; a submission with an invalid service name is a DecodeException, as for progress.

--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -24,6 +24,7 @@
 import io.lentilstream.jobs.codec.DecodeException;
 import io.lentilstream.jobs.codec.ProgressCodec;
 import io.lentilstream.jobs.codec.SubmissionCodec;
+import io.lentilstream.model.Identifiers;
 import io.lentilstream.model.JobId;
 
 /**
@@ -401,6 +402,10 @@
 	 * @return the reply, or {@code null} if it has none
 	 */
 	public PeerFrame handleFrame(PeerFrame frame) {
+		if (isAboutJob(frame.kind()) && !Identifiers.isValid(frame.subject())) {
+			this.log.append("job-unreadable", frame.subject(), "error", "invalid id in a frame " + frame.kind());
+			return null;
+		}
 		Optional<Term> ownTerm = this.term.get();
 		return switch (frame.kind()) {
 			case ASK_STATE ->
@@ -420,6 +425,13 @@
 		};
 	}
 
+	private static boolean isAboutJob(PeerFrame.Kind kind) {
+		return switch (kind) {
+			case ASK_STATE, SUBMITTED, CANCELLED -> true;
+			default -> false;
+		};
+	}
+
 	private static PeerFrame receiveCancellation(Optional<Term> ownTerm, PeerFrame frame) {
 		JobId job = new JobId(frame.subject());
 		ownTerm.ifPresent((leading) -> leading.jobCancelled(job));
--- a/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
@@ -63,13 +63,22 @@
 				throw new IOException("unknown frame kind " + ordinal);
 			}
 			return new PeerFrame(Kind.values()[ordinal], unpacker.unpackLong(), unpacker.unpackString(),
-					unpacker.unpackLong(), unpacker.readPayload(unpacker.unpackBinaryHeader()));
+					unpacker.unpackLong(), content(unpacker, bytes.length));
 		}
 		catch (MessagePackException ex) {
 			throw new IOException("frame is malformed", ex);
 		}
 	}
 
+	// The unpacker would reserve memory for any length.
+	private static byte[] content(MessageUnpacker unpacker, int frameLength) throws IOException {
+		int length = unpacker.unpackBinaryHeader();
+		if (length > frameLength - unpacker.getTotalReadBytes()) {
+			throw new IOException("content of " + length + " bytes is longer than its frame");
+		}
+		return unpacker.readPayload(length);
+	}
+
 	/**
 	 * The kinds of frames. They are sent as ordinals.
 	 */
--- a/jobs/src/main/java/io/lentilstream/jobs/codec/SubmissionCodec.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/SubmissionCodec.java
@@ -84,7 +84,7 @@
 					unpacker.unpackLong());
 			return new JobSubmission(id, queue, policy, payload, List.copyOf(steps), schedule, unpacker.unpackLong());
 		}
-		catch (IOException | MessagePackException ex) {
+		catch (IOException | MessagePackException | IllegalArgumentException ex) {
 			throw new DecodeException("job submission cannot be decoded", ex);
 		}
 	}
