Show that the stack grows with the requests that wait on a connection

Fails: with 60 requests behind one that is answered 50 ms later, the handler of the last one runs 1,081 frames deep (bound 200), 17 frames for each request that is answered at once. FlowControlHandler hands out the next request within setAutoRead(true) of the response before it. The deployed stack has 256 KiB, and a StackOverflowError halts the process with status 3 and cuts all requests in flight.

--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
@@ -25,6 +26,10 @@
 
 	private static final int OK = 200;
 
+	private static final int WAITING_REQUESTS = 60;
+
+	private static final long MAX_STACK_FRAMES = 200;
+
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
 	private final List<String> handled = Collections.synchronizedList(new ArrayList<>());
@@ -56,6 +61,23 @@
 		assertThat(responses.indexOf("/first")).isLessThan(responses.indexOf("/second"));
 	}
 
+	// Guards against a stack overflow, which ends the process, after a request that is
+	// answered late while many others wait behind it.
+	@Test
+	void theStackDoesNotGrowWithTheRequestsThatWaitOnAConnection() throws IOException, InterruptedException {
+		List<Long> depths = Collections.synchronizedList(new ArrayList<>());
+		send(get("/late") + get("/next").repeat(WAITING_REQUESTS), WAITING_REQUESTS + 1, (uri, responder) -> {
+			depths.add(StackWalker.getInstance().walk(Stream::count));
+			if (uri.equals("/late")) {
+				respondLater(uri, responder);
+			}
+			else {
+				responder.run();
+			}
+		});
+		assertThat(Collections.max(depths)).isLessThan(MAX_STACK_FRAMES);
+	}
+
 	private void respondLater(String uri, Runnable responder) {
 		this.group.schedule(responder, 50, TimeUnit.MILLISECONDS);
 	}
