--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
