Choose the last response of a connection once all that arrived is read

Cause: a batch arrives in several reads, and a request that is answered at once was answered, with "Connection: close", before the next read. Change: requests are handled when the reads of a connection are complete.

--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -221,10 +221,16 @@
 				ReceivedRequest received = new ReceivedRequest(request, System.nanoTime());
 				this.waiting.add(received);
 				this.waitingBytes += received.size();
-				dispatch();
 			}
 		}
 
+		// Not for each request, since the last response of a draining connection must not
+		// be given before all that has arrived is read.
+		@Override
+		public void channelReadComplete(ChannelHandlerContext handlerContext) {
+			dispatch();
+		}
+
 		// A loop, since requests that are answered at once would otherwise nest.
 		private void dispatch() {
 			if (this.dispatching) {
--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -118,6 +118,17 @@
 		assertThat(responses.split("HTTP/1.1 200", -1)).hasSize(3);
 	}
 
+	// Netty reads 2 KiB at first.
+	@Test
+	void requestsThatArriveInSeveralReadsAreAnsweredBeforeADrainingServerClosesTheConnection()
+			throws IOException, InterruptedException {
+		String responses = send(get("/first") + get("/" + "x".repeat(2500)) + get("/third"), 3, (uri, responder) -> {
+			this.server.closeAfterResponses();
+			responder.run();
+		});
+		assertThat(responses.split("HTTP/1.1 200", -1)).hasSize(4);
+	}
+
 	@Test
 	void aClientThatSendsNoMoreStillReceivesTheResponses() throws IOException, InterruptedException {
 		this.halfCloses = true;
