Show odd frames and items that end a process

Fails without an exception: a Deadline-Ms far below 0 makes the wait of a cancellation overflow, so that it has no end (JobServiceTests).

--- a/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
@@ -8,7 +8,10 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
+import io.lentilstream.control.EventLoop;
 import io.lentilstream.control.ManualEventLoop;
 import io.lentilstream.control.peers.LeaderConnection;
 import io.lentilstream.control.peers.PeerFrame;
@@ -21,6 +24,7 @@
 import io.lentilstream.model.JobId;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
 class JobServiceTests {
 
@@ -148,4 +152,43 @@
 		assertThat(this.service.handleFrame(PeerFrame.of(PeerFrame.Kind.CANCELLED, 0, "job-1"))).isNull();
 	}
 
+	// Guards against a peer whose bytes end the process.
+	@ParameterizedTest
+	@ValueSource(strings = { "", " ", "a/b", "job 1", "\u00e4", "..", "\n" })
+	void aFrameAboutNoJobHasNoReplyAndNoEffect(String subject) {
+		for (PeerFrame.Kind kind : PeerFrame.Kind.values()) {
+			assertThatCode(() -> this.service.handleFrame(PeerFrame.of(kind, 7, subject))).doesNotThrowAnyException();
+		}
+	}
+
+	// Guards against a header that keeps a cancellation waiting without end.
+	@Test
+	void aCancellationWhoseCallerHasLeftLongAgoIsAnsweredInTime() {
+		List<Long> delays = new ArrayList<>();
+		EventLoop recording = new EventLoop() {
+
+			@Override
+			public long now() {
+				return JobServiceTests.this.loop.now();
+			}
+
+			@Override
+			public long wallClockMillis() {
+				return JobServiceTests.this.loop.wallClockMillis();
+			}
+
+			@Override
+			public Runnable schedule(long millis, Runnable task) {
+				delays.add(millis);
+				return JobServiceTests.this.loop.schedule(0, () -> {
+				});
+			}
+
+		};
+		new CancellationConfirmer(recording, (job, answer) -> answer.accept(false)).await(new JobId("job-1"),
+				Long.MIN_VALUE + 100, (outcome) -> {
+				});
+		assertThat(delays).allSatisfy((delay) -> assertThat(delay).isBetween(0L, 4000L));
+	}
+
 }
--- a/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
+++ b/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
@@ -1,17 +1,21 @@
 package io.lentilstream.control.leadership;
 
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.lentilstream.control.ManualEventLoop;
 import io.lentilstream.control.store.MemoryStore;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 
 class LeadershipTests {
 
@@ -50,6 +54,26 @@
 		assertThat(this.second.terms).containsExactly(1);
 	}
 
+	// Guards against an odd item that ends process after process.
+	@ParameterizedTest
+	@ValueSource(strings = { "", "x", "-1", "2147483647", "99999999999" })
+	void anOddItemOfTheTermIsNoError(String term) {
+		this.store.put("lentilstream/term", term.getBytes(StandardCharsets.US_ASCII));
+		this.first.leadership.checkLeader();
+		assertThatCode(() -> this.loop.runFor(5000)).doesNotThrowAnyException();
+	}
+
+	@Test
+	void anItemOfALeaderWithoutAnAddressIsNoError() {
+		LeaderRecord record = new LeaderRecord("c", new InetSocketAddress("127.0.0.1", 1), 0, 1);
+		byte[] bytes = record.encode();
+		// The port is the number 1 behind the address.
+		bytes[bytes.length - 3] = -1;
+		this.store.put(Leadership.LEADER_KEY, bytes);
+		this.first.leadership.checkLeader();
+		assertThatCode(() -> this.loop.runFor(5000)).doesNotThrowAnyException();
+	}
+
 	@Test
 	void aClaimWhoseReplyIsLostStillLeadsToLeadership() {
 		this.first.leadership.checkLeader();
--- a/control/src/test/java/io/lentilstream/control/term/TermTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/TermTests.java
@@ -9,6 +9,8 @@
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.lentilstream.control.ManualEventLoop;
 import io.lentilstream.control.leadership.Leadership;
@@ -117,6 +119,21 @@
 		assertThat(this.log).contains("term-begun").doesNotContain("job-unreadable");
 	}
 
+	// Guards against an odd key that ends each leader.
+	@ParameterizedTest
+	@ValueSource(strings = { "", " ", "a/b", "..", "\u00e4" })
+	void anItemWhoseKeyHoldsNoJobIsPassedOver(String name) {
+		startTerm();
+		for (String prefix : List.of(JobKeys.CANCELLATIONS, JobKeys.SUBMISSIONS, JobKeys.PROGRESS)) {
+			this.store.put(prefix + name, new byte[] { 1 });
+		}
+		this.store.put(JobKeys.submission(JOB), SubmissionCodec.encode(job()));
+		this.loop.runFor(2000);
+		assertThat(this.starts).hasSize(1);
+		startTerm();
+		assertThat(this.log).filteredOn("term-begun"::equals).hasSize(2);
+	}
+
 	@Test
 	void aVmThatDrainsGetsNoTasksAfterAChangeOfLeader() {
 		Term first = startTerm();
