Pass over keys that hold no job

Cause: parseJobId made an id of whatever follows the prefix, and an invalid one ended each leader that read or watched the item. Change: such a key is that of no job. Measured: TermTests, the 5 odd keys pass.

--- a/control/src/main/java/io/lentilstream/control/term/JobKeys.java
+++ b/control/src/main/java/io/lentilstream/control/term/JobKeys.java
@@ -2,6 +2,7 @@
 
 import java.util.Optional;
 
+import io.lentilstream.model.Identifiers;
 import io.lentilstream.model.JobId;
 
 /**
@@ -65,7 +66,8 @@
 	}
 
 	static Optional<JobId> parseJobId(String prefix, String key) {
-		return key.startsWith(prefix) ? Optional.of(new JobId(key.substring(prefix.length()))) : Optional.empty();
+		String id = key.startsWith(prefix) ? key.substring(prefix.length()) : "";
+		return Identifiers.isValid(id) ? Optional.of(new JobId(id)) : Optional.empty();
 	}
 
 }
