Refuse frames about no job or with more content than bytes

Cause: the subject of a frame became the id of a job unchecked, and its content was allocated as long as the frame claimed. Change: JobService logs and drops a frame about a job whose subject is no id; PeerFrame treats a content that is longer than the frame as malformed, which closes the connection.

--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -24,6 +24,7 @@
 import io.lentilstream.jobs.codec.DecodeException;
 import io.lentilstream.jobs.codec.ProgressCodec;
 import io.lentilstream.jobs.codec.SubmissionCodec;
+import io.lentilstream.model.Identifiers;
 import io.lentilstream.model.JobId;
 
 /**
@@ -401,6 +402,10 @@
 	 * @return the reply, or {@code null} if it has none
 	 */
 	public PeerFrame handleFrame(PeerFrame frame) {
+		if (frame.kind().aboutJob() && !Identifiers.isValid(frame.subject())) {
+			this.log.append("frame-refused", frame.kind(), "reason", "its subject is no job");
+			return null;
+		}
 		Optional<Term> ownTerm = this.term.get();
 		return switch (frame.kind()) {
 			case ASK_STATE ->
--- a/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
@@ -63,13 +63,21 @@
 				throw new IOException("unknown frame kind " + ordinal);
 			}
 			return new PeerFrame(Kind.values()[ordinal], unpacker.unpackLong(), unpacker.unpackString(),
-					unpacker.unpackLong(), unpacker.readPayload(unpacker.unpackBinaryHeader()));
+					unpacker.unpackLong(), content(unpacker, bytes.length));
 		}
 		catch (MessagePackException ex) {
 			throw new IOException("frame is malformed", ex);
 		}
 	}
 
+	private static byte[] content(MessageUnpacker unpacker, int frameBytes) throws IOException {
+		int length = unpacker.unpackBinaryHeader();
+		if (length > frameBytes) {
+			throw new IOException("frame is shorter than its content: " + length + " bytes");
+		}
+		return unpacker.readPayload(length);
+	}
+
 	/**
 	 * The kinds of frames. They are sent as ordinals.
 	 */
@@ -115,7 +123,15 @@
 		NOT_LEADING,
 
 		/** Reply whose number is 1 if the tasks of the cancelled job stop in time. */
-		CANCELLATION_STATUS
+		CANCELLATION_STATUS;
+
+		/**
+		 * Tells whether the subject of a request of this kind is the id of a job.
+		 * @return {@code false} if it is something else
+		 */
+		public boolean aboutJob() {
+			return this == ASK_STATE || this == SUBMITTED || this == CANCELLED;
+		}
 
 	}
 
