Do not end a process for an odd item of the term or the leader

Cause: a term that is no number and a leader with an invalid port threw on the event loop of each process that read them. Change: both are logged. A process does not lead while the term cannot be read, since the numbers of runs follow from it.

--- a/control/src/main/java/io/lentilstream/control/leadership/LeaderRecord.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/LeaderRecord.java
@@ -38,7 +38,7 @@
 					new InetSocketAddress(unpacker.unpackString(), unpacker.unpackInt()), unpacker.unpackInt(),
 					unpacker.unpackLong());
 		}
-		catch (MessagePackException ex) {
+		catch (MessagePackException | IllegalArgumentException ex) {
 			throw new IOException("leader record is malformed", ex);
 		}
 	}
--- a/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.function.LongSupplier;
 import java.util.random.RandomGenerator;
 
@@ -269,7 +270,14 @@
 			return;
 		}
 		StoredItem stored = item.value();
-		int term = stored.exists() ? Integer.parseInt(new String(stored.value(), StandardCharsets.US_ASCII)) + 1 : 0;
+		OptionalInt next = nextTerm(stored);
+		if (next.isEmpty()) {
+			// Numbers of runs follow from that of the term, so it must not be guessed.
+			this.log.append("term-unreadable", TERM_KEY, "revision", stored.revision());
+			abandonCampaign();
+			return;
+		}
+		int term = next.getAsInt();
 		this.claim = new LeaderRecord(this.candidate.node(), this.candidate.address(), term, this.random.nextLong());
 		Commit commit = new Commit().require(LEADER_KEY, 0)
 			.require(TERM_KEY, stored.exists() ? stored.revision() : 0)
@@ -278,6 +286,18 @@
 		this.store.commit(commit, this::claimCommitted);
 	}
 
+	private static OptionalInt nextTerm(StoredItem stored) {
+		if (!stored.exists()) {
+			return OptionalInt.of(0);
+		}
+		try {
+			return OptionalInt.of(Integer.parseInt(new String(stored.value(), StandardCharsets.US_ASCII)) + 1);
+		}
+		catch (NumberFormatException ex) {
+			return OptionalInt.empty();
+		}
+	}
+
 	private void claimCommitted(StoreReply<Long> reply) {
 		if (reply instanceof StoreReply.Ok<Long> revision) {
 			becomeLeader(revision.value());
