Bound the wait of a cancellation whose caller has left long ago

Cause: the time until the answer overflowed for a Deadline-Ms near the smallest number. Change: the later of now and the time of the answer is taken first. Measured: JobServiceTests, the wait is between 0 and 4 s.

--- a/control/src/main/java/io/lentilstream/control/api/CancellationConfirmer.java
+++ b/control/src/main/java/io/lentilstream/control/api/CancellationConfirmer.java
@@ -35,7 +35,8 @@
 	 */
 	void await(JobId job, long answerBy, Consumer<Outcome> callback) {
 		Wait wait = new Wait(job, callback);
-		this.loop.schedule(Math.max(0, answerBy - this.loop.now()), () -> wait.finish(Outcome.UNCONFIRMED));
+		long now = this.loop.now();
+		this.loop.schedule(Math.max(now, answerBy) - now, () -> wait.finish(Outcome.UNCONFIRMED));
 		wait.ask(FIRST_DELAY_MILLIS);
 	}
 
