Let occurrences wait for earlier ones of their job

Cause: all occurrences that were due were created at once, so one job stalled leader after leader. Change: an occurrence waits while the incomplete ones of its job have 10,000 tasks with it; one alone may have more.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
@@ -5,6 +5,7 @@
 
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
+import io.lentilstream.jobs.StepSpec;
 
 /**
  * Releases the steps of a job once they are due and their dependencies are done, and ends
@@ -20,6 +21,12 @@
 	 */
 	private static final int LATE_FACTOR = 3;
 
+	/**
+	 * The largest number of tasks in the incomplete occurrences of a job. Further
+	 * occurrences wait until earlier ones complete.
+	 */
+	private static final int MAX_TASKS = 10_000;
+
 	private final SchedulerState state;
 
 	private final RunStopper runStopper;
@@ -53,6 +60,9 @@
 				continue;
 			}
 			if (!job.occurrences.containsKey(occurrence)) {
+				if (tooManyTasks(job)) {
+					return;
+				}
 				job.createOccurrence(occurrence);
 			}
 			job.nextOccurrence = occurrence + 1;
@@ -60,6 +70,11 @@
 		}
 	}
 
+	private static boolean tooManyTasks(Job job) {
+		long tasks = job.submission.steps().stream().mapToLong(StepSpec::count).sum();
+		return !job.occurrences.isEmpty() && (job.occurrences.size() + 1) * tasks > MAX_TASKS;
+	}
+
 	/**
 	 * Releases the steps of an occurrence whose dependencies are done.
 	 * @param job the job
