--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -402,7 +402,7 @@
 	 * @return the reply, or {@code null} if it has none
 	 */
 	public PeerFrame handleFrame(PeerFrame frame) {
-		if (isAboutJob(frame.kind()) && !Identifiers.isValid(frame.subject())) {
+		if (frame.kind().aboutJob() && !Identifiers.isValid(frame.subject())) {
 			this.log.append("job-unreadable", frame.subject(), "error", "invalid id in a frame " + frame.kind());
 			return null;
 		}
@@ -425,13 +425,6 @@
 		};
 	}
 
-	private static boolean isAboutJob(PeerFrame.Kind kind) {
-		return switch (kind) {
-			case ASK_STATE, SUBMITTED, CANCELLED -> true;
-			default -> false;
-		};
-	}
-
 	private static PeerFrame receiveCancellation(Optional<Term> ownTerm, PeerFrame frame) {
 		JobId job = new JobId(frame.subject());
 		ownTerm.ifPresent((leading) -> leading.jobCancelled(job));
--- a/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
@@ -124,7 +124,15 @@
 		NOT_LEADING,
 
 		/** Reply whose number is 1 if the tasks of the cancelled job stop in time. */
-		CANCELLATION_STATUS
+		CANCELLATION_STATUS;
+
+		/**
+		 * Tells whether the subject of a request of this kind is the id of a job.
+		 * @return {@code false} if it is something else
+		 */
+		public boolean aboutJob() {
+			return this == ASK_STATE || this == SUBMITTED || this == CANCELLED;
+		}
 
 	}
 
--- a/control/src/test/java/io/lentilstream/control/peers/PeerFrameTests.java
+++ b/control/src/test/java/io/lentilstream/control/peers/PeerFrameTests.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import java.util.Random;
 
 import org.junit.jupiter.api.Test;
 
@@ -17,6 +18,8 @@
 
 	private final PeerFrame frame = new PeerFrame(PeerFrame.Kind.SUBMITTED, 7, "job-1", 3, CONTENT);
 
+	private final PeerFrame small = new PeerFrame(PeerFrame.Kind.SUBMITTED, 7, "job-1", 3, new byte[] { 1, 2 });
+
 	@Test
 	void aFrameIsDecodedAsItWasEncoded() throws IOException {
 		PeerFrame decoded = PeerFrame.decode(this.frame.encode());
@@ -42,4 +45,26 @@
 		}
 	}
 
+	// Guards against a peer whose bytes end the process.
+	@Test
+	void aFrameOfOddBytesIsDecodedOrMalformed() {
+		Random random = new Random(5);
+		for (int i = 0; i < 200_000; i++) {
+			byte[] bytes = this.small.encode();
+			for (int changes = random.nextInt(4); changes >= 0; changes--) {
+				bytes[random.nextInt(bytes.length)] = (byte) random.nextInt(256);
+			}
+			decode(Arrays.copyOf(bytes, random.nextInt(bytes.length + 1)));
+		}
+	}
+
+	private static void decode(byte[] bytes) {
+		try {
+			PeerFrame.decode(bytes);
+		}
+		catch (IOException ex) {
+			assertThat(ex).hasMessageContaining("frame");
+		}
+	}
+
 }
