Test that bodies neither overtake responses nor take unbounded memory

Cause: HttpObjectAggregator answers 413 itself, before the response to a request in flight on the connection, and then closes it. And bodies that are being received have no common bound: direct memory is limited to the heap's 96 MB.

Measured on a process of the deploy file: 200 clients that send a body of 1 MB each in parts of 100 KB, over 1.5 s, ended it with status 3, OutOfMemoryError (direct buffer memory), no structured line, 4 times in 12 s; spread over three processes none ended, at 154 MB of memory at most.

Both tests fail on the current code: a 413 arrives in the place of the first response; 60 of 60 unfinished bodies are held.

--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collections;
@@ -144,6 +145,53 @@
 		assertThat(responses).contains("HTTP/1.1 200").contains("connection: close");
 	}
 
+	// A refusal that overtakes a response is taken for that response.
+	@Test
+	void aBodyThatIsTooLargeIsRefusedAfterTheResponsesBeforeIt() throws IOException, InterruptedException {
+		String responses = send(get("/first") + "POST /large HTTP/1.1\r\nContent-Length: 100000000\r\n\r\n", 2,
+				this::respondLater);
+		assertThat(responses.indexOf("HTTP/1.1 200")).isNotNegative().isLessThan(responses.indexOf("HTTP/1.1 4"));
+		assertThat(this.handled).containsExactly("/first");
+	}
+
+	@Test
+	void bodiesThatArriveTogetherTakeBoundedMemory() throws IOException, InterruptedException {
+		InetSocketAddress address = freeAddress();
+		this.server = new HttpServer((request, responder) -> respond(request.uri(), responder), 1 << 20);
+		this.server.listen(this.group, address);
+		byte[] unfinished = ("POST / HTTP/1.1\r\nContent-Length: 1000001\r\n\r\n" + "x".repeat(1_000_000))
+			.getBytes(StandardCharsets.US_ASCII);
+		List<Socket> open = new ArrayList<>();
+		for (int i = 0; i < 60; i++) {
+			Socket socket = new Socket();
+			socket.connect(address, TIMEOUT_MILLIS);
+			if (sent(socket, unfinished)) {
+				open.add(socket);
+			}
+		}
+		assertThat(open).hasSizeBetween(20, 40);
+		open.get(0).setSoTimeout(TIMEOUT_MILLIS);
+		open.get(0).getOutputStream().write('x');
+		assertThat(read(new BufferedInputStream(open.get(0).getInputStream()), 1)).contains("HTTP/1.1 200");
+		for (Socket socket : open) {
+			socket.close();
+		}
+	}
+
+	private static boolean sent(Socket socket, byte[] bytes) throws IOException {
+		socket.setSoTimeout(100);
+		try {
+			socket.getOutputStream().write(bytes);
+			return socket.getInputStream().read() >= 0;
+		}
+		catch (SocketTimeoutException ex) {
+			return true;
+		}
+		catch (IOException ex) {
+			return false;
+		}
+	}
+
 	private void respondLater(String uri, Runnable responder) {
 		this.group.schedule(responder, 50, TimeUnit.MILLISECONDS);
 	}
