Bound the memory of bodies, and refuse large ones in order

Change: bodies that are being received take 32 MB together at most; a connection that goes beyond is closed before its request is complete. A body over its own limit is passed on as a malformed request, which waits for its turn and is answered 400 (413 before), and the connection is closed.

--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -26,7 +26,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
@@ -47,6 +46,12 @@
 
 	private static final int MAX_CHUNK_BYTES = 8192;
 
+	/**
+	 * The maximum size of all bodies that are being received, in bytes. Their buffers are
+	 * larger than what they hold.
+	 */
+	private static final long MAX_RECEIVED_BYTES = 32L << 20;
+
 	private static final int BAD_REQUEST = 400;
 
 	/**
@@ -65,6 +70,8 @@
 
 	private final int maxBodyBytes;
 
+	private final ReceivedBytesLimit receivedBytes = new ReceivedBytesLimit(MAX_RECEIVED_BYTES);
+
 	private final Set<ClientConnection> connections = new HashSet<>();
 
 	private Channel serverChannel;
@@ -100,7 +107,8 @@
 				protected void initChannel(SocketChannel channel) {
 					channel.pipeline()
 						.addLast(new HttpServerCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-								new HttpObjectAggregator(HttpServer.this.maxBodyBytes), new ClientConnection());
+								HttpServer.this.receivedBytes.newHandler(),
+								new RequestAggregator(HttpServer.this.maxBodyBytes), new ClientConnection());
 				}
 			});
 		this.serverChannel = bootstrap.bind(address).sync().channel();
