--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -30,6 +30,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 
+import io.lentilstream.control.AcceptFailureHandler;
 import io.lentilstream.control.FatalErrors;
 import io.lentilstream.control.shutdown.GracefulShutdown;
 
@@ -97,6 +98,7 @@
 	public void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
 		ServerBootstrap bootstrap = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
+			.handler(new AcceptFailureHandler())
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
--- a/control/src/main/java/io/lentilstream/control/peers/PeerServer.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerServer.java
@@ -9,6 +9,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 
+import io.lentilstream.control.AcceptFailureHandler;
+
 /**
  * Accepts connections from peers and replies to their frames.
  */
@@ -35,6 +37,7 @@
 	public void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
 		this.serverChannel = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
+			.handler(new AcceptFailureHandler())
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
 			.childHandler(new PeerChannelInitializer(this::received, () -> {
