--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -26,11 +26,11 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 
+import io.lentilstream.control.AcceptFailureHandler;
 import io.lentilstream.control.FatalErrors;
 import io.lentilstream.control.shutdown.GracefulShutdown;
 
@@ -47,6 +47,12 @@
 
 	private static final int MAX_CHUNK_BYTES = 8192;
 
+	/**
+	 * The maximum size of all bodies that are being received, in bytes. Their buffers are
+	 * larger than what they hold.
+	 */
+	private static final long MAX_RECEIVED_BYTES = 32L << 20;
+
 	private static final int BAD_REQUEST = 400;
 
 	/**
@@ -65,6 +71,8 @@
 
 	private final int maxBodyBytes;
 
+	private final ReceivedBytesLimit receivedBytes = new ReceivedBytesLimit(MAX_RECEIVED_BYTES);
+
 	private final Set<ClientConnection> connections = new HashSet<>();
 
 	private Channel serverChannel;
@@ -90,6 +98,7 @@
 	public void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
 		ServerBootstrap bootstrap = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
+			.handler(new AcceptFailureHandler())
 			.option(ChannelOption.SO_BACKLOG, BACKLOG)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
@@ -100,7 +109,8 @@
 				protected void initChannel(SocketChannel channel) {
 					channel.pipeline()
 						.addLast(new HttpServerCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-								new HttpObjectAggregator(HttpServer.this.maxBodyBytes), new ClientConnection());
+								HttpServer.this.receivedBytes.newHandler(),
+								new RequestAggregator(HttpServer.this.maxBodyBytes), new ClientConnection());
 				}
 			});
 		this.serverChannel = bootstrap.bind(address).sync().channel();
