Let a leader that drains lead on until another process is ready

Cause: a process that got SIGTERM resigned at once and never led again.

Change: followers tell in their pings whether they can lead (the number of the frame, 0 in earlier versions). ControlNode.drain(leadUntil) makes a leader continue, its lease renewed, until a follower that can lead has told so; then it ends its lease as before and names that follower, which runs at once in place of waiting for its ping. At leadUntil it ends its lease in any case. A process that drains runs for leadership if it is named, or after 0.6 s without a leader, but not in the last 1.5 s.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -13,6 +13,7 @@
 import io.lentilstream.control.api.JobService;
 import io.lentilstream.control.leadership.LeaderRecord;
 import io.lentilstream.control.leadership.Leadership;
+import io.lentilstream.control.peers.FollowerRegistry;
 import io.lentilstream.control.peers.LeaderConnection;
 import io.lentilstream.control.peers.PeerServer;
 import io.lentilstream.control.store.PrefixWatcher;
@@ -46,6 +47,8 @@
 
 	private final LeaderConnection leaderConnection;
 
+	private final FollowerRegistry followers;
+
 	private final PeerServer peerServer;
 
 	private final JobService service;
@@ -62,6 +65,9 @@
 
 	private boolean draining;
 
+	/** Whether there has been any other process that could lead. */
+	private boolean peersSeen;
+
 	private boolean configurationRead;
 
 	/**
@@ -82,14 +88,15 @@
 		this.decoder = source.decoder();
 		this.evacuatedZones = new EvacuatedZones(source.evacuatedZone());
 		this.leaderConnection = new LeaderConnection(dependencies.loop(), group, dependencies.log(),
-				this::recheckLeader);
+				new FollowerRole());
+		this.followers = new FollowerRegistry(dependencies.loop(), this::successorFound);
 		Leadership.Candidate candidate = new Leadership.Candidate(settings.name(), settings.peerAddress(),
 				settings.candidacyDelayMillis(), settings.leaseGraceMillis());
 		this.leadership = new Leadership(dependencies.loop(), dependencies.store(), dependencies.log(), random,
 				candidate, new TermStarter());
 		this.service = new JobService(dependencies, this.leaderConnection, () -> Optional.ofNullable(this.term),
 				this::lastStoreReplyAt);
-		this.peerServer = new PeerServer(this.service::handleFrame);
+		this.peerServer = new PeerServer(this.service::handleFrame, this.followers);
 		this.configurationWatcher = new PrefixWatcher(dependencies.loop(), dependencies.store(), dependencies.log(),
 				source.prefix(), new PrefixWatcher.WatchTiming(1000, 0), new ConfigurationListener());
 	}
@@ -103,6 +110,24 @@
 		this.group.execute(this.configurationWatcher::start);
 	}
 
+	/**
+	 * Reports not ready from now on. A leader continues until another process can lead,
+	 * then hands over at once; it resigns at once if there has never been another.
+	 * Requests are still answered.
+	 * @param leadUntil when this process resigns permanently from leadership, on the
+	 * steady clock in milliseconds
+	 */
+	public void drain(long leadUntil) {
+		if (!this.peersSeen) {
+			drain();
+			return;
+		}
+		this.draining = true;
+		this.leadership.leadOnlyUntil(leadUntil);
+		this.leaderConnection.announceCandidacy();
+		successorFound();
+	}
+
 	/**
 	 * Resigns permanently from leadership and reports not ready from then on. Requests
 	 * are still answered.
@@ -112,6 +137,18 @@
 		this.leadership.resign("shutdown", true);
 	}
 
+	// Frames that have arrived already may tell that the successor drains as well.
+	private void successorFound() {
+		this.peersSeen = true;
+		if (this.draining) {
+			this.dependencies.loop().schedule(0, () -> {
+				if (this.followers.hasSuccessor()) {
+					this.leadership.handOver("shutdown");
+				}
+			});
+		}
+	}
+
 	/**
 	 * Returns whether another process may be elected as the leader without waiting for a
 	 * lease of this one.
@@ -190,10 +227,6 @@
 		return configuration().map(Configuration::policies).orElse(Map.of());
 	}
 
-	private void recheckLeader() {
-		this.dependencies.loop().schedule(LEADER_RECHECK_MILLIS, this.leadership::checkLeader);
-	}
-
 	/**
 	 * Applies what operators have stored. This process runs for leadership only after it
 	 * has read that once, so that it never leads without the zones under evacuation.
@@ -215,6 +248,30 @@
 
 	}
 
+	/**
+	 * Looks for another leader when the known one may be lost, and tells it whether this
+	 * process could lead.
+	 */
+	private final class FollowerRole implements LeaderConnection.Listener {
+
+		@Override
+		public void leaderDoubtful() {
+			ControlNode node = ControlNode.this;
+			node.dependencies.loop().schedule(LEADER_RECHECK_MILLIS, node.leadership::checkLeader);
+		}
+
+		@Override
+		public void leaderResigned() {
+			ControlNode.this.leadership.succeed();
+		}
+
+		@Override
+		public boolean canLead() {
+			return !ControlNode.this.draining && storeReachable();
+		}
+
+	}
+
 	/**
 	 * Starts a term when this process wins the leadership and stops it when it is lost.
 	 */
@@ -246,10 +303,15 @@
 				ControlNode.this.term.stop();
 				ControlNode.this.term = null;
 			}
+			if (ControlNode.this.draining && !ControlNode.this.followers.notifySuccessor()) {
+				// The successor has begun to drain meanwhile.
+				ControlNode.this.leadership.succeed();
+			}
 		}
 
 		@Override
 		public void leaderFound(LeaderRecord leader) {
+			ControlNode.this.peersSeen |= !leader.node().equals(ControlNode.this.settings.name());
 			ControlNode.this.leaderConnection.connect(leader.address());
 		}
 
--- a/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
@@ -64,6 +64,18 @@
 	 */
 	private static final long OWN_LEASE_RECHECK_MILLIS = 20;
 
+	/**
+	 * How much longer there must be no leader before a process that is about to exit runs
+	 * for leadership, in milliseconds. Any other that can lead does so earlier.
+	 */
+	private static final long EXITING_CANDIDACY_DELAY_MILLIS = 600;
+
+	/**
+	 * Minimum time until the exit for which a process runs for leadership, in
+	 * milliseconds. Covers its start as the leader several times over.
+	 */
+	private static final long MIN_REMAINING_MILLIS = 1500;
+
 	private State state = State.FOLLOWING;
 
 	private LeaderRecord leader;
@@ -84,8 +96,17 @@
 
 	private boolean resigned;
 
+	/**
+	 * When this process stops leading at the latest, because it is about to exit, on the
+	 * steady clock.
+	 */
+	private long leadUntil = Long.MAX_VALUE;
+
 	private boolean releaseInFlight;
 
+	/** Whether the last leader has named this process as its successor. */
+	private boolean named;
+
 	private long leaderlessSince = -1;
 
 	/** When a check last found a leader; -1 if none did. */
@@ -123,6 +144,16 @@
 		this.store.read(LEADER_KEY, this::leaderRead);
 	}
 
+	/**
+	 * Runs for leadership if there is no leader, since the last one has named this
+	 * process as its successor, or was this process and knows no other. It does so even
+	 * if it is about to exit, unless that is imminent.
+	 */
+	public void succeed() {
+		this.named = true;
+		checkLeader();
+	}
+
 	/**
 	 * Returns the known leader.
 	 * @return the leader, or empty if none is known
@@ -156,12 +187,9 @@
 	 * it is about to exit
 	 */
 	public void resign(String reason, boolean permanently) {
-		this.resigned |= permanently;
-		if (permanently && this.state == State.LEADING) {
-			this.state = State.RELEASING;
-			this.log.append("leadership-releasing", this.candidate.node(), "reason", reason);
-			this.listener.leadershipEnding();
-			release(this.lease);
+		if (permanently) {
+			this.resigned = true;
+			handOver(reason);
 		}
 		else if (this.state == State.LEADING || this.state == State.RELEASING) {
 			long heldLease = this.lease;
@@ -171,6 +199,32 @@
 		}
 	}
 
+	/**
+	 * Limits the time in which this process leads, since it is about to exit. Until then
+	 * a leader continues, and a follower runs for leadership only if there has been no
+	 * leader for a while.
+	 * @param until when it resigns permanently, on the steady clock in milliseconds
+	 */
+	public void leadOnlyUntil(long until) {
+		this.leadUntil = until;
+		this.loop.schedule(Math.max(0, until - this.loop.now()), () -> resign("shutdown", true));
+	}
+
+	/**
+	 * Ends the lease, since another process is ready to lead. Does nothing if this
+	 * process is not the leader.
+	 * @param reason the reason, for the log
+	 */
+	public void handOver(String reason) {
+		if (this.state != State.LEADING) {
+			return;
+		}
+		this.state = State.RELEASING;
+		this.log.append("leadership-releasing", this.candidate.node(), "reason", reason);
+		this.listener.leadershipEnding();
+		release(this.lease);
+	}
+
 	/**
 	 * Returns whether this process holds no lease that keeps others from being elected.
 	 * @return {@code false} while the store has not confirmed the end of the lease
@@ -208,6 +262,7 @@
 		if (item.value().exists()) {
 			this.leaderlessSince = -1;
 			this.leaderSeenAt = this.loop.now();
+			this.named = false;
 			follow(item.value());
 			return;
 		}
@@ -216,16 +271,32 @@
 		if (this.leaderlessSince < 0) {
 			this.leaderlessSince = now;
 		}
-		if (this.resigned || now - this.leaderlessSince < this.candidate.candidacyDelayMillis()) {
+		if (!mayRun(now)) {
 			this.loop.schedule(LEADER_CHECK_MILLIS, this::checkLeader);
 			return;
 		}
+		this.named = false;
 		this.state = State.CAMPAIGNING;
 		long sentAt = now;
 		long wallClockSentAt = this.loop.wallClockMillis();
 		this.store.grantLease(TTL_MILLIS, (granted) -> leaseGranted(granted, sentAt, wallClockSentAt));
 	}
 
+	private boolean mayRun(long now) {
+		if (this.resigned || exiting() && now + MIN_REMAINING_MILLIS > this.leadUntil) {
+			return false;
+		}
+		long delay = this.candidate.candidacyDelayMillis();
+		if (exiting() && !this.named) {
+			delay += EXITING_CANDIDACY_DELAY_MILLIS;
+		}
+		return now - this.leaderlessSince >= delay;
+	}
+
+	private boolean exiting() {
+		return this.leadUntil != Long.MAX_VALUE;
+	}
+
 	private void follow(StoredItem item) {
 		try {
 			LeaderRecord record = LeaderRecord.decode(item.value());
@@ -339,6 +410,12 @@
 			return;
 		}
 		long sentAt = this.loop.now();
+		if (exiting() && sentAt > this.leaseValidUntil) {
+			// A process that steps down may exit before the store is back, and would
+			// leave its lease behind.
+			resign("lease not renewed", true);
+			return;
+		}
 		if (sentAt > this.leaseValidUntil + this.candidate.leaseGraceMillis()) {
 			stepDown("lease not renewed");
 			return;
@@ -414,7 +491,7 @@
 		void leadershipWon(LeaderTerm leaderTerm);
 
 		/**
-		 * Called when this process starts to end its lease, because it is shutting down.
+		 * Called when this process starts to end its lease, because it is about to exit.
 		 * A successor may be elected at any time from now on.
 		 */
 		void leadershipEnding();
--- a/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
+++ b/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
@@ -37,7 +37,7 @@
 
 	private final DecisionLog log;
 
-	private final Runnable leaderCheck;
+	private final Listener listener;
 
 	private final Map<Long, Consumer<Optional<PeerFrame>>> pendingReplies = new HashMap<>();
 
@@ -57,14 +57,13 @@
 	 * @param group the group of the event loop
 	 * @param log receives a line for each connection that is established, lost or cannot
 	 * be established
-	 * @param leaderCheck run when the leader cannot be reached, is no longer the leader,
-	 * or may have lost its lease
+	 * @param listener notified when another leader may be needed
 	 */
-	public LeaderConnection(EventLoop loop, EventLoopGroup group, DecisionLog log, Runnable leaderCheck) {
+	public LeaderConnection(EventLoop loop, EventLoopGroup group, DecisionLog log, Listener listener) {
 		this.loop = loop;
 		this.group = group;
 		this.log = log;
-		this.leaderCheck = leaderCheck;
+		this.listener = listener;
 	}
 
 	/**
@@ -83,7 +82,7 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-			.handler(new PeerChannelInitializer(this::received, () -> closed(address)))
+			.handler(new PeerChannelInitializer(this::received, (closed) -> closed(address)))
 			.connect(address)
 			.addListener((ChannelFuture future) -> connectCompleted(address, future));
 	}
@@ -117,16 +116,33 @@
 	 * @param reply receives the reply, or empty if there is none in time or no connection
 	 */
 	public void request(PeerFrame.Kind kind, String subject, Consumer<Optional<PeerFrame>> reply) {
+		request(kind, subject, 0, reply);
+	}
+
+	private void request(PeerFrame.Kind kind, String subject, long number, Consumer<Optional<PeerFrame>> reply) {
 		if (!connected()) {
 			reply.accept(Optional.empty());
 			return;
 		}
 		long callId = ++this.lastCallId;
 		this.pendingReplies.put(callId, reply);
-		PeerChannelInitializer.send(this.channel, PeerFrame.of(kind, callId, subject));
+		PeerChannelInitializer.send(this.channel, PeerFrame.of(kind, callId, subject).withNumber(number));
 		this.loop.schedule(REPLY_TIMEOUT_MILLIS, () -> timeOut(callId));
 	}
 
+	/**
+	 * Tells the leader at once whether this process could lead, without waiting for the
+	 * next ping.
+	 */
+	public void announceCandidacy() {
+		sendPing((reply) -> {
+		});
+	}
+
+	private void sendPing(Consumer<Optional<PeerFrame>> reply) {
+		request(PeerFrame.Kind.PING, "", this.listener.canLead() ? PeerFrame.CAN_LEAD : PeerFrame.CANNOT_LEAD, reply);
+	}
+
 	/**
 	 * Sends a frame that has no reply. It is dropped if there is no connection.
 	 * @param frame the frame
@@ -146,7 +162,7 @@
 		if (!future.isSuccess()) {
 			this.leader = null;
 			this.log.append("leader-unreachable", address, "error", future.cause().getMessage());
-			this.leaderCheck.run();
+			this.listener.leaderDoubtful();
 			return;
 		}
 		this.channel = future.channel();
@@ -160,7 +176,7 @@
 		if (current == null) {
 			return;
 		}
-		request(PeerFrame.Kind.PING, "", (reply) -> {
+		sendPing((reply) -> {
 			if (this.channel != current) {
 				return;
 			}
@@ -168,13 +184,13 @@
 			this.unansweredPings = alive ? 0 : this.unansweredPings + 1;
 			if (alive && reply.get().number() == 0) {
 				// The leader's lease may have expired and another process been elected.
-				this.leaderCheck.run();
+				this.listener.leaderDoubtful();
 			}
 			if (reply.isPresent() && !alive || this.unansweredPings > 1) {
 				InetSocketAddress formerLeader = this.leader;
 				this.log.append("leader-link-lost", String.valueOf(formerLeader), "unanswered", this.unansweredPings);
 				disconnect();
-				this.leaderCheck.run();
+				this.listener.leaderDoubtful();
 				return;
 			}
 			this.loop.schedule(PING_INTERVAL_MILLIS, () -> {
@@ -186,6 +202,12 @@
 	}
 
 	private void received(Channel from, PeerFrame frame) {
+		if (from == this.channel && frame.kind() == PeerFrame.Kind.NOT_LEADING && frame.callId() == 0) {
+			this.log.append("leader-resigned", String.valueOf(this.leader));
+			disconnect();
+			this.listener.leaderResigned();
+			return;
+		}
 		Consumer<Optional<PeerFrame>> reply = this.pendingReplies.remove(frame.callId());
 		if (reply != null) {
 			reply.accept(Optional.of(frame));
@@ -196,7 +218,7 @@
 		if (this.channel != null && address.equals(this.leader) && !this.channel.isActive()) {
 			this.log.append("leader-link-closed", address);
 			disconnect();
-			this.leaderCheck.run();
+			this.listener.leaderDoubtful();
 		}
 	}
 
@@ -213,4 +235,34 @@
 		failed.forEach((reply) -> reply.accept(Optional.empty()));
 	}
 
+	/**
+	 * A listener for the state of the connection.
+	 */
+	@FunctionalInterface
+	public interface Listener {
+
+		/**
+		 * Called when the leader cannot be reached, is no longer the leader, or may have
+		 * lost its lease.
+		 */
+		void leaderDoubtful();
+
+		/**
+		 * Called when the leader has ended its lease and tells this process as its
+		 * successor.
+		 */
+		default void leaderResigned() {
+			leaderDoubtful();
+		}
+
+		/**
+		 * Returns whether this process could lead.
+		 * @return {@code false} if the leader should not hand over to it
+		 */
+		default boolean canLead() {
+			return true;
+		}
+
+	}
+
 }
--- a/control/src/main/java/io/lentilstream/control/peers/PeerChannelInitializer.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerChannelInitializer.java
@@ -1,6 +1,7 @@
 package io.lentilstream.control.peers;
 
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
@@ -26,9 +27,9 @@
 
 	private final BiConsumer<Channel, PeerFrame> onFrame;
 
-	private final Runnable onClosed;
+	private final Consumer<Channel> onClosed;
 
-	PeerChannelInitializer(BiConsumer<Channel, PeerFrame> onFrame, Runnable onClosed) {
+	PeerChannelInitializer(BiConsumer<Channel, PeerFrame> onFrame, Consumer<Channel> onClosed) {
 		this.onFrame = onFrame;
 		this.onClosed = onClosed;
 	}
@@ -63,7 +64,7 @@
 
 		@Override
 		public void channelInactive(ChannelHandlerContext context) {
-			PeerChannelInitializer.this.onClosed.run();
+			PeerChannelInitializer.this.onClosed.accept(context.channel());
 		}
 
 		@Override
--- a/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
@@ -18,6 +18,12 @@
  */
 public record PeerFrame(Kind kind, long callId, String subject, long number, byte[] content) {
 
+	/** Number of a ping whose sender could lead. Earlier versions send 0. */
+	public static final long CAN_LEAD = 1;
+
+	/** Number of a ping whose sender could not lead. */
+	public static final long CANNOT_LEAD = 2;
+
 	private static final byte[] NO_CONTENT = {};
 
 	/**
@@ -41,6 +47,10 @@
 		return new PeerFrame(replyKind, this.callId, this.subject, value, NO_CONTENT);
 	}
 
+	PeerFrame withNumber(long value) {
+		return new PeerFrame(this.kind, this.callId, this.subject, value, this.content);
+	}
+
 	byte[] encode() {
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			packer.packInt(this.kind.ordinal());
@@ -85,7 +95,7 @@
 
 		/**
 		 * Checks that the connection and the leader are alive; the reply is
-		 * {@link #PONG}.
+		 * {@link #PONG}. Its number tells whether the sender could lead.
 		 */
 		PING,
 
@@ -111,7 +121,10 @@
 		 */
 		PONG,
 
-		/** Reply to any request if the process is not the leader. */
+		/**
+		 * Reply to any request if the process is not the leader. A leader that has ended
+		 * its lease sends it with the call id 0 to its successor, unasked.
+		 */
 		NOT_LEADING,
 
 		/** Reply whose number is 1 if the tasks of the cancelled job stop in time. */
--- a/control/src/main/java/io/lentilstream/control/peers/PeerServer.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerServer.java
@@ -16,14 +16,18 @@
 
 	private final UnaryOperator<PeerFrame> handler;
 
+	private final FollowerRegistry followers;
+
 	private Channel serverChannel;
 
 	/**
 	 * Creates a server that is not listening yet.
 	 * @param handler returns the reply to a frame, or {@code null} if it has none
+	 * @param followers records what peers tell with their pings
 	 */
-	public PeerServer(UnaryOperator<PeerFrame> handler) {
+	public PeerServer(UnaryOperator<PeerFrame> handler, FollowerRegistry followers) {
 		this.handler = handler;
+		this.followers = followers;
 	}
 
 	/**
@@ -37,8 +41,7 @@
 			.channel(NioServerSocketChannel.class)
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new PeerChannelInitializer(this::received, () -> {
-			}))
+			.childHandler(new PeerChannelInitializer(this::received, this.followers::closed))
 			.bind(address)
 			.sync()
 			.channel();
@@ -54,6 +57,7 @@
 	}
 
 	private void received(Channel channel, PeerFrame frame) {
+		this.followers.received(channel, frame);
 		PeerFrame reply = this.handler.apply(frame);
 		if (reply != null) {
 			PeerChannelInitializer.send(channel, reply);
--- a/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
+++ b/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
@@ -7,6 +7,8 @@
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 import io.lentilstream.control.ManualEventLoop;
 import io.lentilstream.control.store.MemoryStore;
@@ -17,6 +19,8 @@
 
 	private static final long LEASE_GRACE_MILLIS = 4000;
 
+	private static final long EXIT_MILLIS = 5000;
+
 	private final ManualEventLoop loop = new ManualEventLoop();
 
 	private final MemoryStore store = new MemoryStore(this.loop);
@@ -124,6 +128,165 @@
 		assertThat(this.second.leadership.leading()).isTrue();
 	}
 
+	@Test
+	void aLeaderThatIsAboutToExitLeadsUntilItHandsOver() {
+		this.first.leadership.checkLeader();
+		this.loop.runFor(100);
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.loop.runFor(4000);
+		assertThat(this.first.leadership.leaseHeld()).isTrue();
+		assertThat(this.first.leadership.released()).isFalse();
+		assertThat(this.first.ending).isZero();
+		this.first.leadership.handOver("shutdown");
+		this.loop.runFor(100);
+		assertThat(this.first.leadership.released()).isTrue();
+		assertThat(this.first.lost).isEqualTo(1);
+		this.second.leadership.checkLeader();
+		this.loop.runFor(100);
+		assertThat(this.second.leadership.leading()).isTrue();
+		assertThat(this.second.terms).containsExactly(1);
+	}
+
+	@Test
+	void aLeaderThatIsAboutToExitEndsItsLeaseInTimeWithoutASuccessor() {
+		this.first.leadership.checkLeader();
+		this.loop.runFor(100);
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.loop.runFor(EXIT_MILLIS - 1);
+		assertThat(this.first.leadership.leaseHeld()).isTrue();
+		this.loop.runFor(20);
+		assertThat(this.first.leadership.released()).isTrue();
+		this.loop.runFor(10_000);
+		assertThat(this.first.terms).containsExactly(0);
+	}
+
+	@Test
+	void aProcessThatIsToldToExitWhileItsClaimIsStoredLeadsUntilItHandsOver() {
+		this.first.leadership.checkLeader();
+		while (this.store.commits == 0) {
+			this.loop.runFor(1);
+		}
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.loop.runFor(EXIT_MILLIS - 1);
+		assertThat(this.first.terms).containsExactly(0);
+		assertThat(this.first.leadership.leaseHeld()).isTrue();
+		this.loop.runFor(20);
+		assertThat(this.first.leadership.released()).isTrue();
+	}
+
+	@Test
+	void aLeaderThatIsAboutToExitInAnOutageEndsItsLeaseWhenTheStoreReturns() {
+		this.first.leadership.checkLeader();
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.SILENT;
+		this.loop.runFor(900);
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.loop.runFor(3600);
+		assertThat(this.first.leadership.released()).isFalse();
+		assertThat(this.first.ending).isEqualTo(1);
+		this.store.extendLeases(4500);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(900);
+		assertThat(this.first.leadership.released()).isTrue();
+		this.second.leadership.checkLeader();
+		this.loop.runFor(300);
+		assertThat(this.second.leadership.leading()).isTrue();
+	}
+
+	@Test
+	void aProcessThatIsAboutToExitLeadsIfNoOtherDoes() {
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.first.leadership.checkLeader();
+		this.loop.runFor(500);
+		assertThat(this.first.leadership.leading()).isFalse();
+		this.loop.runFor(500);
+		assertThat(this.first.leadership.leading()).isTrue();
+		this.loop.runFor(EXIT_MILLIS);
+		assertThat(this.first.leadership.released()).isTrue();
+		assertThat(this.first.terms).containsExactly(0);
+	}
+
+	@Test
+	void aProcessThatIsAboutToExitLeadsAtOnceIfItIsNamedAsTheSuccessor() {
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.first.leadership.succeed();
+		this.loop.runFor(100);
+		assertThat(this.first.leadership.leading()).isTrue();
+	}
+
+	@Test
+	void aNamedSuccessorThatHandedOverItselfLeavesTheLeadershipToOthers() {
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.first.leadership.succeed();
+		this.loop.runFor(100);
+		this.first.leadership.handOver("shutdown");
+		this.loop.runFor(500);
+		this.second.leadership.checkLeader();
+		this.loop.runFor(1000);
+		assertThat(this.first.terms).containsExactly(0);
+		assertThat(this.second.leadership.leading()).isTrue();
+	}
+
+	@Test
+	void aProcessThatIsNamedAsTheSuccessorDoesNotRunShortlyBeforeItsExit() {
+		this.first.leadership.leadOnlyUntil(this.loop.now() + 1000);
+		this.first.leadership.succeed();
+		this.loop.runFor(3000);
+		assertThat(this.first.terms).isEmpty();
+	}
+
+	@Test
+	void aProcessThatIsAboutToExitLeavesTheLeadershipToOthers() {
+		this.first.leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+		this.first.leadership.checkLeader();
+		this.loop.runFor(400);
+		this.second.leadership.checkLeader();
+		this.loop.runFor(3000);
+		assertThat(this.second.leadership.leading()).isTrue();
+		assertThat(this.first.terms).isEmpty();
+	}
+
+	@Test
+	void aProcessDoesNotRunForLeadershipShortlyBeforeItsExit() {
+		this.first.leadership.leadOnlyUntil(this.loop.now() + 2000);
+		this.first.leadership.checkLeader();
+		this.loop.runFor(10_000);
+		assertThat(this.first.terms).isEmpty();
+		assertThat(this.first.leadership.released()).isTrue();
+	}
+
+	@ParameterizedTest
+	@ValueSource(longs = { 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12 })
+	void twoProcessesNeverHoldTheLeaseWhileAllAreStoppedInTurn(long seed) {
+		Random faults = new Random(seed);
+		List<Process> processes = new ArrayList<>();
+		for (int i = 0; i < 4; i++) {
+			processes.add(new Process("p" + i, 0));
+			processes.get(i).leadership.checkLeader();
+		}
+		int stopped = 0;
+		for (int millis = 0; millis < 12_000; millis++) {
+			if (stopped < 4 && millis > 500 && faults.nextInt(400) == 0) {
+				processes.get(stopped++).leadership.leadOnlyUntil(this.loop.now() + EXIT_MILLIS);
+			}
+			if (faults.nextInt(300) == 0) {
+				processes.get(faults.nextInt(4)).leadership.handOver("shutdown");
+			}
+			if (faults.nextInt(700) == 0) {
+				this.store.mode = faults.nextBoolean() ? MemoryStore.Mode.LOSES_REPLIES : MemoryStore.Mode.SILENT;
+			}
+			else if (faults.nextInt(200) == 0) {
+				this.store.mode = MemoryStore.Mode.WORKS;
+			}
+			processes.get(faults.nextInt(4)).leadership.checkLeader();
+			this.loop.runFor(1);
+			assertThat(processes).filteredOn((process) -> process.leadership.leaseHeld()).hasSizeLessThan(2);
+		}
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(4000);
+		assertThat(processes).filteredOn((process) -> !process.leadership.released()).isEmpty();
+	}
+
 	@Test
 	void aProcessWithACandidacyDelayWaitsBeforeItLeads() {
 		Process delayed = new Process("w", 800);
--- a/control/src/test/java/io/lentilstream/control/peers/LeaderConnectionTests.java
+++ b/control/src/test/java/io/lentilstream/control/peers/LeaderConnectionTests.java
@@ -5,6 +5,8 @@
 import java.net.ServerSocket;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.BooleanSupplier;
 
 import io.netty.channel.nio.NioEventLoopGroup;
 import org.junit.jupiter.api.AfterEach;
@@ -20,9 +22,17 @@
 
 	private final AtomicInteger leaderChecks = new AtomicInteger();
 
+	private final AtomicInteger resignations = new AtomicInteger();
+
+	private final AtomicLong lastPing = new AtomicLong(-1);
+
+	private volatile boolean canLead = true;
+
+	private FollowerRegistry followers;
+
 	private final LeaderConnection connection = new LeaderConnection(new NettyEventLoop(this.group), this.group,
 			(decision, subject, inputs) -> {
-			}, this.leaderChecks::incrementAndGet);
+			}, new Follower());
 
 	@AfterEach
 	void close() {
@@ -44,11 +54,45 @@
 		assertThat(this.leaderChecks.get()).isZero();
 	}
 
+	@Test
+	void theLeaderIsToldAtOnceThatThisProcessCannotLeadAnyMore() throws Exception {
+		connectToLeader(1);
+		waitUntil(() -> this.lastPing.get() == PeerFrame.CAN_LEAD);
+		assertThat(this.group.submit(this.followers::hasSuccessor).get()).isTrue();
+		this.canLead = false;
+		this.group.submit(this.connection::announceCandidacy).get();
+		waitUntil(() -> this.lastPing.get() == PeerFrame.CANNOT_LEAD);
+		assertThat(this.group.submit(this.followers::hasSuccessor).get()).isFalse();
+		assertThat(this.group.submit(this.connection::connected).get()).isTrue();
+	}
+
+	@Test
+	void theSuccessorOfALeaderThatResignedIsNotified() throws Exception {
+		connectToLeader(1);
+		waitUntil(() -> this.lastPing.get() == PeerFrame.CAN_LEAD);
+		this.group.submit(this.followers::notifySuccessor).get();
+		waitUntil(() -> this.resignations.get() > 0);
+		assertThat(this.resignations.get()).isEqualTo(1);
+		assertThat(this.group.submit(this.connection::connected).get()).isFalse();
+	}
+
+	private static void waitUntil(BooleanSupplier condition) throws InterruptedException {
+		for (int i = 0; i < 150 && !condition.getAsBoolean(); i++) {
+			TimeUnit.MILLISECONDS.sleep(20);
+		}
+	}
+
 	private void connectToLeader(long pongNumber) throws Exception {
 		InetSocketAddress address = freeAddress();
-		new PeerServer(
-				(frame) -> (frame.kind() == PeerFrame.Kind.PING) ? frame.reply(PeerFrame.Kind.PONG, pongNumber) : null)
-			.listen(this.group, address);
+		this.followers = new FollowerRegistry(new NettyEventLoop(this.group), () -> {
+		});
+		new PeerServer((frame) -> {
+			if (frame.kind() != PeerFrame.Kind.PING) {
+				return null;
+			}
+			this.lastPing.set(frame.number());
+			return frame.reply(PeerFrame.Kind.PONG, pongNumber);
+		}, this.followers).listen(this.group, address);
 		this.group.submit(() -> this.connection.connect(address)).get();
 	}
 
@@ -64,4 +108,23 @@
 		}
 	}
 
+	private final class Follower implements LeaderConnection.Listener {
+
+		@Override
+		public void leaderDoubtful() {
+			LeaderConnectionTests.this.leaderChecks.incrementAndGet();
+		}
+
+		@Override
+		public void leaderResigned() {
+			LeaderConnectionTests.this.resignations.incrementAndGet();
+		}
+
+		@Override
+		public boolean canLead() {
+			return LeaderConnectionTests.this.canLead;
+		}
+
+	}
+
 }
