Wait for an announcement before the test drains the leader

The test drained both processes in the same turn of the loop, so the leader could take the other for ready and hand over, which is allowed.

--- a/control/src/test/java/io/lentilstream/control/ControlNodeTests.java
+++ b/control/src/test/java/io/lentilstream/control/ControlNodeTests.java
@@ -63,6 +63,7 @@
 		ControlNode second = start("b");
 		awaitLine("leader-connected b");
 		drain(second);
+		deliverFrames();
 		drain(first);
 		TimeUnit.MILLISECONDS.sleep(1500);
 		assertThat(released(first)).isFalse();
@@ -110,6 +111,14 @@
 		return node;
 	}
 
+	// Frames that were sent are read within a few turns of the loop.
+	private void deliverFrames() throws Exception {
+		for (int i = 0; i < 20; i++) {
+			onLoop(() -> null);
+			TimeUnit.MILLISECONDS.sleep(10);
+		}
+	}
+
 	private void drain(ControlNode node) throws Exception {
 		onLoop(() -> {
 			node.drain(this.loop.now() + EXIT_MILLIS);
