--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -16,6 +16,7 @@
 import io.lentilstream.control.peers.FollowerRegistry;
 import io.lentilstream.control.peers.LeaderConnection;
 import io.lentilstream.control.peers.PeerServer;
+import io.lentilstream.control.shutdown.GracefulShutdown;
 import io.lentilstream.control.store.PrefixWatcher;
 import io.lentilstream.control.store.StoredItem;
 import io.lentilstream.control.term.Term;
@@ -28,7 +29,7 @@
  * A control process without its HTTP endpoints. It watches the configuration and the
  * leader, and schedules jobs while it is the leader itself.
  */
-public final class ControlNode {
+public final class ControlNode implements GracefulShutdown.Leader {
 
 	/** Time without a reply from the store after which this process is not ready. */
 	private static final long MAX_STORE_SILENCE_MILLIS = 2500;
@@ -132,6 +133,7 @@
 	 * Resigns permanently from leadership and reports not ready from then on. Requests
 	 * are still answered.
 	 */
+	@Override
 	public void drain() {
 		this.draining = true;
 		this.leadership.resign("shutdown", true);
@@ -154,6 +156,7 @@
 	 * lease of this one.
 	 * @return {@code false} while the store has not confirmed the end of the lease
 	 */
+	@Override
 	public boolean released() {
 		return this.leadership.released();
 	}
