Tell the leader at SIGTERM when to end its lease

Cause: the shutdown calls drain() without a deadline, so a leader resigns at once even if all others are stopped as well.

Change: ShutdownDeadlines.leadUntil, 0.6 s before the exit, is passed to ControlNode.drain(leadUntil); drain() goes.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -118,27 +118,18 @@
 	 * @param leadUntil when this process resigns permanently from leadership, on the
 	 * steady clock in milliseconds
 	 */
+	@Override
 	public void drain(long leadUntil) {
+		this.draining = true;
 		if (!this.peersSeen) {
-			drain();
+			this.leadership.resign("shutdown", true);
 			return;
 		}
-		this.draining = true;
 		this.leadership.leadOnlyUntil(leadUntil);
 		this.leaderConnection.announceCandidacy();
 		successorFound();
 	}
 
-	/**
-	 * Resigns permanently from leadership and reports not ready from then on. Requests
-	 * are still answered.
-	 */
-	@Override
-	public void drain() {
-		this.draining = true;
-		this.leadership.resign("shutdown", true);
-	}
-
 	// Frames that have arrived already may tell that the successor drains as well.
 	private void successorFound() {
 		this.peersSeen = true;
--- a/control/src/main/java/io/lentilstream/control/shutdown/GracefulShutdown.java
+++ b/control/src/main/java/io/lentilstream/control/shutdown/GracefulShutdown.java
@@ -67,7 +67,7 @@
 		this.cause = signal;
 		long now = this.loop.now();
 		this.deadlines = ShutdownDeadlines.of(now, this.graceMillis);
-		this.leader.drain();
+		this.leader.drain(this.deadlines.leadUntil());
 		this.server.closeAfterResponses();
 		this.loop.schedule(this.deadlines.listenUntil() - now, this.server::stop);
 		this.loop.schedule(this.deadlines.answerBy() - now, this::answerUnfinished);
@@ -131,8 +131,12 @@
 	 */
 	public interface Leader {
 
-		/** Starts to give up the leadership for good. */
-		void drain();
+		/**
+		 * Leads no longer than until another process can, and gives up the leadership for
+		 * good at a deadline.
+		 * @param leadUntil the deadline, on the steady clock in milliseconds
+		 */
+		void drain(long leadUntil);
 
 		/**
 		 * Returns whether another process may lead without waiting for a lease of this
--- a/control/src/main/java/io/lentilstream/control/shutdown/ShutdownDeadlines.java
+++ b/control/src/main/java/io/lentilstream/control/shutdown/ShutdownDeadlines.java
@@ -5,10 +5,11 @@
  * requests that wait for others arrive until a process stops listening.
  *
  * @param listenUntil until when new connections are accepted
+ * @param leadUntil when a leader ends its lease at the latest
  * @param answerBy when all requests that were received are answered at the latest
  * @param exitBy when the process exits at the latest
  */
-record ShutdownDeadlines(long listenUntil, long answerBy, long exitBy) {
+record ShutdownDeadlines(long listenUntil, long leadUntil, long answerBy, long exitBy) {
 
 	/**
 	 * Time in which callers that do not know of the shutdown may still connect, in
@@ -19,6 +20,9 @@
 	/** Time for the last answers to be sent, in milliseconds. */
 	private static final long SEND_MILLIS = 300;
 
+	/** Time for a leader to end its lease, in milliseconds. */
+	private static final long RELEASE_MILLIS = 600;
+
 	/** Time for the exit itself, in milliseconds. */
 	private static final long EXIT_MILLIS = 400;
 
@@ -32,7 +36,8 @@
 		long exitBy = signalledAt + Math.max(0, graceMillis - EXIT_MILLIS);
 		long answerBy = Math.max(signalledAt, exitBy - SEND_MILLIS);
 		long listenUntil = signalledAt + Math.min(MAX_LISTEN_MILLIS, (answerBy - signalledAt) / 2);
-		return new ShutdownDeadlines(listenUntil, answerBy, exitBy);
+		long leadUntil = Math.max(signalledAt, exitBy - RELEASE_MILLIS);
+		return new ShutdownDeadlines(listenUntil, leadUntil, answerBy, exitBy);
 	}
 
 }
--- a/control/src/test/java/io/lentilstream/control/shutdown/GracefulShutdownTests.java
+++ b/control/src/test/java/io/lentilstream/control/shutdown/GracefulShutdownTests.java
@@ -24,6 +24,8 @@
 
 	private boolean released = true;
 
+	private long leadUntil;
+
 	private final GracefulShutdown shutdown = new GracefulShutdown(this.loop,
 			(decision, subject, inputs) -> this.log.add(decision + " " + List.of(inputs)), "node", GRACE_MILLIS,
 			this.server, new FakeLeader(), (cause) -> this.exits.add(cause + " after " + this.loop.now()));
@@ -90,6 +92,13 @@
 		assertThat(this.log).anyMatch((line) -> line.contains("INT, repeated, true"));
 	}
 
+	@Test
+	void theLeaderIsToldWhenToEndItsLeaseBeforeTheExit() {
+		begin();
+		long exitBy = this.loop.now() + 6000 - 400;
+		assertThat(this.leadUntil).isGreaterThan(this.loop.now()).isLessThan(exitBy);
+	}
+
 	private void begin() {
 		this.shutdown.begin("TERM");
 	}
@@ -97,7 +106,8 @@
 	private final class FakeLeader implements GracefulShutdown.Leader {
 
 		@Override
-		public void drain() {
+		public void drain(long leadUntil) {
+			GracefulShutdownTests.this.leadUntil = leadUntil;
 		}
 
 		@Override
