Show responses that overtake others or are lost at the end

A caller that half closes its connection loses the part of a response that is not sent yet. A trace on standard error that nobody reads takes the 250 ms of the last action, so that requests in flight are cut at status 3.

FailingServer's standard error is now a pipe that is not read, for that test.

--- a/control/src/test/java/io/lentilstream/control/FailingServer.java
+++ b/control/src/test/java/io/lentilstream/control/FailingServer.java
@@ -16,6 +16,8 @@
 
 	private static final long ENDLESS_MILLIS = 100_000;
 
+	private static final int LONG_TRACE_CHARACTERS = 1_000_000;
+
 	private FailingServer() {
 	}
 
@@ -34,7 +36,8 @@
 			if (request.path().equals("/endless")) {
 				FatalErrors.beforeHalt((cause) -> sleep());
 			}
-			throw new IllegalStateException(request.path());
+			throw new IllegalStateException(
+					request.path().equals("/long-trace") ? "x".repeat(LONG_TRACE_CHARACTERS) : request.path());
 		}, 1000);
 		FatalErrors.beforeHalt((cause) -> server.answerUnfinished());
 		int port = freePort();
--- a/control/src/test/java/io/lentilstream/control/FatalErrorsTests.java
+++ b/control/src/test/java/io/lentilstream/control/FatalErrorsTests.java
@@ -31,7 +31,6 @@
 	void start() throws IOException {
 		this.process = new ProcessBuilder(ProcessHandle.current().info().command().orElse("java"), "-cp",
 				System.getProperty("java.class.path"), FailingServer.class.getName())
-			.redirectError(ProcessBuilder.Redirect.DISCARD)
 			.start();
 		this.output = this.process.inputReader();
 		this.port = Integer.parseInt(this.output.readLine());
@@ -65,6 +64,17 @@
 		assertThat(this.process.exitValue()).isEqualTo(FatalErrors.EXIT_STATUS);
 	}
 
+	// A trace that nobody reads takes all the time that is left before the exit.
+	@Test
+	void requestsInFlightAreAnsweredAlthoughTheTraceIsNotRead() throws IOException, InterruptedException {
+		try (Socket socket = connect()) {
+			send(socket, "/long-trace");
+			assertThat(firstLine(socket)).isEqualTo("HTTP/1.1 503 Service Unavailable");
+		}
+		assertThat(this.process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+		assertThat(this.process.exitValue()).isEqualTo(FatalErrors.EXIT_STATUS);
+	}
+
 	private Socket connect() throws IOException {
 		Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.port);
 		socket.setSoTimeout(TIMEOUT_MILLIS);
--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -37,6 +37,10 @@
 
 	private static final int MAX_BODY_BYTES = 200_000;
 
+	private static final int LARGE_BODY_BYTES = 20_000_000;
+
+	private static final long PAUSE_MILLIS = 200;
+
 	private final NioEventLoopGroup group = new NioEventLoopGroup(1);
 
 	private HttpServer server;
@@ -165,6 +169,51 @@
 		assertThat(responses).contains("HTTP/1.1 200").contains("connection: close");
 	}
 
+	// Guards against a response of the decoder that a client takes for that of its first
+	// request.
+	@Test
+	void aRequestThatIsTooLargeIsAnsweredAfterTheRequestBeforeIt() throws IOException, InterruptedException {
+		String responses = send(get("/first") + "POST / HTTP/1.1\r\nContent-Length: 200001\r\n\r\n", 2,
+				this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 200").contains("HTTP/1.1 413");
+	}
+
+	@Test
+	void aRequestThatIsTooLargeAndTheLastDoesNotCutTheRequestBeforeIt() throws IOException, InterruptedException {
+		String responses = send(
+				get("/first") + "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 200001\r\n\r\n", 2,
+				this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 200").contains("HTTP/1.1 413");
+	}
+
+	@Test
+	void aRequestThatIsTooLargeAndExpectsToContinueIsAnsweredAfterTheRequestBeforeIt()
+			throws IOException, InterruptedException {
+		String responses = send(
+				get("/first") + "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 200001\r\n\r\n", 2,
+				this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 200").contains("HTTP/1.1 413");
+	}
+
+	// Guards against a connection that is closed with a response that is not sent yet.
+	@Test
+	void aClientThatSendsNoMoreReceivesAResponseThatIsNotSentYet() throws IOException, InterruptedException {
+		InetSocketAddress address = freeAddress();
+		this.server = new HttpServer(
+				(request, responder) -> responder.accept(new HttpHandler.Response(OK, new byte[LARGE_BODY_BYTES], 0)),
+				MAX_BODY_BYTES);
+		this.server.listen(this.group, address);
+		try (Socket socket = new Socket()) {
+			socket.setSoTimeout(TIMEOUT_MILLIS);
+			socket.connect(address, TIMEOUT_MILLIS);
+			socket.getOutputStream().write(get("/").getBytes(StandardCharsets.US_ASCII));
+			assertThat(socket.getInputStream().read()).isEqualTo('H');
+			socket.shutdownOutput();
+			Thread.sleep(PAUSE_MILLIS);
+			assertThat(socket.getInputStream().readAllBytes()).hasSizeGreaterThan(LARGE_BODY_BYTES);
+		}
+	}
+
 	private void respondLater(String uri, Runnable responder) {
 		this.group.schedule(responder, 50, TimeUnit.MILLISECONDS);
 	}
