Answer requests that are too large in their turn

The decoder answered them itself, before the responses to the requests in front of them on the connection, and closed it. It now passes them on as failed, and they are answered with 413 as the others are.

--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -26,7 +27,6 @@
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
@@ -47,8 +47,6 @@
 
 	private static final int MAX_CHUNK_BYTES = 8192;
 
-	private static final int BAD_REQUEST = 400;
-
 	/**
 	 * The size of the requests that wait behind another from which on a connection is not
 	 * read, in bytes.
@@ -100,7 +98,7 @@
 				protected void initChannel(SocketChannel channel) {
 					channel.pipeline()
 						.addLast(new HttpServerCodec(MAX_REQUEST_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES),
-								new HttpObjectAggregator(HttpServer.this.maxBodyBytes), new ClientConnection());
+								new RequestAggregator(HttpServer.this.maxBodyBytes), new ClientConnection());
 				}
 			});
 		this.serverChannel = bootstrap.bind(address).sync().channel();
@@ -244,8 +242,9 @@
 		}
 
 		private void handle(ReceivedRequest request) {
-			if (request.malformed()) {
-				respond(request, HttpHandler.Response.of(BAD_REQUEST));
+			Optional<HttpHandler.Response> refusal = request.refusal();
+			if (refusal.isPresent()) {
+				respond(request, refusal.get());
 				return;
 			}
 			HttpServer.this.handler.handle(request.content(), (response) -> {
@@ -307,8 +306,8 @@
 			for (int i = 0; i < requests.size() && !this.closing; i++) {
 				ReceivedRequest request = requests.get(i);
 				request.abandon();
-				HttpHandler.Response response = request.malformed() ? HttpHandler.Response.of(BAD_REQUEST)
-						: HttpServer.this.handler.unfinished(request.content());
+				HttpHandler.Response response = request.refusal()
+					.orElseGet(() -> HttpServer.this.handler.unfinished(request.content()));
 				send(response, !request.keepAlive() || i == requests.size() - 1);
 			}
 			return requests.size();
--- a/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
+++ b/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
@@ -1,8 +1,11 @@
 package io.lentilstream.control.http;
 
+import java.util.Optional;
+
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
  * A request that has been received and not answered.
@@ -12,11 +15,15 @@
 	/** The memory that a request takes beside its body, in bytes. */
 	private static final int HEAD_BYTES = 512;
 
+	private static final int BAD_REQUEST = 400;
+
+	private static final int TOO_LARGE = 413;
+
 	private final HttpHandler.Request content;
 
 	private final boolean keepAlive;
 
-	private final boolean malformed;
+	private final int refusalStatus;
 
 	private final long receivedAtNanos;
 
@@ -25,11 +32,18 @@
 	ReceivedRequest(FullHttpRequest request, long receivedAtNanos) {
 		this.content = new HttpHandler.Request(request.method(), request.uri(), request.headers().copy(),
 				ByteBufUtil.getBytes(request.content()));
-		this.malformed = request.decoderResult().isFailure();
-		this.keepAlive = HttpUtil.isKeepAlive(request) && !this.malformed;
+		this.refusalStatus = refusalStatus(request);
+		this.keepAlive = HttpUtil.isKeepAlive(request) && this.refusalStatus != BAD_REQUEST;
 		this.receivedAtNanos = receivedAtNanos;
 	}
 
+	private static int refusalStatus(FullHttpRequest request) {
+		if (!request.decoderResult().isFailure()) {
+			return 0;
+		}
+		return (request.decoderResult().cause() instanceof TooLongHttpContentException) ? TOO_LARGE : BAD_REQUEST;
+	}
+
 	HttpHandler.Request content() {
 		return this.content;
 	}
@@ -39,11 +53,12 @@
 	}
 
 	/**
-	 * Returns whether the request is not valid HTTP.
-	 * @return {@code true} if it could not be decoded
+	 * Returns the response to a request that is not handled.
+	 * @return the response; empty if the request is valid
 	 */
-	boolean malformed() {
-		return this.malformed;
+	Optional<HttpHandler.Response> refusal() {
+		return (this.refusalStatus == 0) ? Optional.empty()
+				: Optional.of(HttpHandler.Response.of(this.refusalStatus));
 	}
 
 	/**
