Keep half closed connections until their responses are sent

The end of a client's requests closed the connection while a response that had been given waited for the client to read.

Measured: aClientThatSendsNoMoreReceivesAResponseThatIsNotSentYet passes.

--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -208,9 +208,7 @@
 				return;
 			}
 			this.inputClosed = true;
-			if (this.closing || this.current == null) {
-				handlerContext.close();
-			}
+			closeIfAnswered();
 		}
 
 		@Override
@@ -284,9 +282,18 @@
 				if (last) {
 					closeOnceRead();
 				}
+				else if (this.inputClosed) {
+					closeIfAnswered();
+				}
 			});
 		}
 
+		private void closeIfAnswered() {
+			if (unanswered().isEmpty() && this.unsentResponses == 0) {
+				this.context.close();
+			}
+		}
+
 		// Closing a connection with bytes that were not read resets it, and a reset can
 		// discard the last response on its way.
 		private void closeOnceRead() {
