Answer the callers before the trace is written

A trace on standard error that is not read, or that cannot be made, took the last action along, and the requests in flight with it.

Measured: requestsInFlightAreAnsweredAlthoughTheTraceIsNotRead passes.

--- a/control/src/main/java/io/lentilstream/control/FatalErrors.java
+++ b/control/src/main/java/io/lentilstream/control/FatalErrors.java
@@ -42,9 +42,14 @@
 		if (!fatal || !HALTING.compareAndSet(false, true)) {
 			return;
 		}
+		// The trace last, since an output that is not read takes all the time that is left.
 		ProcessExit.halt(EXIT_STATUS, () -> {
-			cause.printStackTrace();
-			lastAction.accept(cause);
+			try {
+				lastAction.accept(cause);
+			}
+			finally {
+				cause.printStackTrace();
+			}
 		});
 	}
 
