Show that a broken invariant in a listener does not end the process

The new test fails: the callback of a call whose connection is refused throws, Netty logs it and goes on, and the request that waits for it is held for ever. All callbacks of the store and of the VMs run there when a connection fails.

--- a/control/src/test/java/io/lentilstream/control/FailingServer.java
+++ b/control/src/test/java/io/lentilstream/control/FailingServer.java
@@ -7,6 +7,8 @@
 
 import io.netty.channel.nio.NioEventLoopGroup;
 
+import io.lentilstream.control.http.HttpCall;
+import io.lentilstream.control.http.HttpConnectionPool;
 import io.lentilstream.control.http.HttpServer;
 
 /**
@@ -16,6 +18,8 @@
 
 	private static final long ENDLESS_MILLIS = 100_000;
 
+	private static final long CALL_TIMEOUT_MILLIS = 1000;
+
 	private static final int LONG_TRACE_CHARACTERS = 1_000_000;
 
 	private FailingServer() {
@@ -33,6 +37,10 @@
 			if (request.path().equals("/held")) {
 				return;
 			}
+			if (request.path().equals("/refused")) {
+				callRefused(group);
+				return;
+			}
 			if (request.path().equals("/endless")) {
 				FatalErrors.beforeHalt((cause) -> sleep());
 			}
@@ -45,6 +53,14 @@
 		System.out.println(port);
 	}
 
+	private static void callRefused(NioEventLoopGroup group) {
+		InetSocketAddress closed = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
+		new HttpConnectionPool(new NettyEventLoop(group), group, closed, 1)
+			.call(HttpCall.get("/", CALL_TIMEOUT_MILLIS), (result) -> {
+				throw new IllegalStateException(result.toString());
+			});
+	}
+
 	private static int freePort() throws IOException {
 		try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
 			return socket.getLocalPort();
--- a/control/src/test/java/io/lentilstream/control/FatalErrorsTests.java
+++ b/control/src/test/java/io/lentilstream/control/FatalErrorsTests.java
@@ -75,6 +75,17 @@
 		assertThat(this.process.exitValue()).isEqualTo(FatalErrors.EXIT_STATUS);
 	}
 
+	// Netty logs what the listener of a future throws, and goes on.
+	@Test
+	void aBrokenInvariantWhenAConnectionIsRefusedEndsTheProcess() throws IOException, InterruptedException {
+		try (Socket socket = connect()) {
+			send(socket, "/refused");
+			assertThat(firstLine(socket)).isEqualTo("HTTP/1.1 503 Service Unavailable");
+		}
+		assertThat(this.process.waitFor(TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)).isTrue();
+		assertThat(this.process.exitValue()).isEqualTo(FatalErrors.EXIT_STATUS);
+	}
+
 	private Socket connect() throws IOException {
 		Socket socket = new Socket(InetAddress.getLoopbackAddress(), this.port);
 		socket.setSoTimeout(TIMEOUT_MILLIS);
