Halt on broken invariants in listeners and tasks of Netty

Netty logs what the listener of a future or a plain task throws, and goes on, so requests that waited for the callback were held until the process ended.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -101,7 +101,7 @@
 	 */
 	public void start() throws InterruptedException {
 		this.peerServer.listen(this.group, this.settings.peerAddress());
-		this.group.execute(this.configurationWatcher::start);
+		this.group.execute(() -> FatalErrors.runChecked(this.configurationWatcher::start));
 	}
 
 	/**
--- a/control/src/main/java/io/lentilstream/control/FatalErrors.java
+++ b/control/src/main/java/io/lentilstream/control/FatalErrors.java
@@ -31,6 +31,20 @@
 		lastAction = action;
 	}
 
+	/**
+	 * Runs a task and halts the process if it throws. To be used where the caller of the
+	 * task would log its exception and go on.
+	 * @param task the task
+	 */
+	public static void runChecked(Runnable task) {
+		try {
+			task.run();
+		}
+		catch (RuntimeException | Error ex) {
+			haltIfFatal(ex);
+		}
+	}
+
 	/**
 	 * Halts the process unless the exception was caused by a connection or by bytes that
 	 * a peer sent.
--- a/control/src/main/java/io/lentilstream/control/NettyEventLoop.java
+++ b/control/src/main/java/io/lentilstream/control/NettyEventLoop.java
@@ -34,19 +34,9 @@
 
 	@Override
 	public Runnable schedule(long millis, Runnable task) {
-		Future<?> future = this.group.schedule(() -> runChecked(task), millis, TimeUnit.MILLISECONDS);
+		// Otherwise the future would keep the error, and a periodic task would just end.
+		Future<?> future = this.group.schedule(() -> FatalErrors.runChecked(task), millis, TimeUnit.MILLISECONDS);
 		return () -> future.cancel(false);
 	}
 
-	private static void runChecked(Runnable task) {
-		try {
-			task.run();
-		}
-		catch (RuntimeException | Error ex) {
-			// Otherwise the future would keep the error, and a periodic task would just
-			// end.
-			FatalErrors.haltIfFatal(ex);
-		}
-	}
-
 }
--- a/control/src/main/java/io/lentilstream/control/http/HttpConnectionPool.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpConnectionPool.java
@@ -18,6 +18,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 
 import io.lentilstream.control.EventLoop;
+import io.lentilstream.control.FatalErrors;
 
 /**
  * A pool of connections to one server. Another connection is opened only if the existing
@@ -143,7 +144,8 @@
 					.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), connection);
 			}
 		});
-		client.connect(this.address).addListener((ChannelFuture future) -> connectCompleted(connection, future));
+		client.connect(this.address)
+			.addListener((ChannelFuture future) -> FatalErrors.runChecked(() -> connectCompleted(connection, future)));
 	}
 
 	private void connectCompleted(HttpConnection connection, ChannelFuture future) {
--- a/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
+++ b/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
@@ -15,6 +15,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 
 import io.lentilstream.control.EventLoop;
+import io.lentilstream.control.FatalErrors;
 import io.lentilstream.jobs.DecisionLog;
 
 /**
@@ -85,7 +86,7 @@
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
 			.handler(new PeerChannelInitializer(this::received, () -> closed(address)))
 			.connect(address)
-			.addListener((ChannelFuture future) -> connectCompleted(address, future));
+			.addListener((ChannelFuture future) -> FatalErrors.runChecked(() -> connectCompleted(address, future)));
 	}
 
 	/**
