--- a/control/src/main/java/io/lentilstream/control/FatalErrors.java
+++ b/control/src/main/java/io/lentilstream/control/FatalErrors.java
@@ -56,7 +56,8 @@
 		if (!fatal || !HALTING.compareAndSet(false, true)) {
 			return;
 		}
-		// The trace last, since an output that is not read takes all the time that is left.
+		// The trace last, since an output that is not read takes all the time that is
+		// left.
 		ProcessExit.halt(EXIT_STATUS, () -> {
 			try {
 				lastAction.accept(cause);
--- a/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
+++ b/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
@@ -57,8 +57,7 @@
 	 * @return the response; empty if the request is valid
 	 */
 	Optional<HttpHandler.Response> refusal() {
-		return (this.refusalStatus == 0) ? Optional.empty()
-				: Optional.of(HttpHandler.Response.of(this.refusalStatus));
+		return (this.refusalStatus == 0) ? Optional.empty() : Optional.of(HttpHandler.Response.of(this.refusalStatus));
 	}
 
 	/**
--- a/control/src/test/java/io/lentilstream/control/FailingServer.java
+++ b/control/src/test/java/io/lentilstream/control/FailingServer.java
@@ -55,10 +55,10 @@
 
 	private static void callRefused(NioEventLoopGroup group) {
 		InetSocketAddress closed = new InetSocketAddress(InetAddress.getLoopbackAddress(), 1);
-		new HttpConnectionPool(new NettyEventLoop(group), group, closed, 1)
-			.call(HttpCall.get("/", CALL_TIMEOUT_MILLIS), (result) -> {
-				throw new IllegalStateException(result.toString());
-			});
+		new HttpConnectionPool(new NettyEventLoop(group), group, closed, 1).call(HttpCall.get("/", CALL_TIMEOUT_MILLIS),
+				(result) -> {
+					throw new IllegalStateException(result.toString());
+				});
 	}
 
 	private static int freePort() throws IOException {
