Show that heads of waiting requests are not bounded

The new test fails: a request counts as 512 bytes whatever its head is, so a connection whose first request is held is read until 128 requests wait, each with a head of up to 24 KB, 3 MB in all.

--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -214,6 +214,33 @@
 		}
 	}
 
+	// Guards against memory that grows with the heads of requests that wait.
+	@Test
+	void headsOfWaitingRequestsCountAsMemory() throws IOException, InterruptedException {
+		InetSocketAddress address = freeAddress();
+		this.server = new HttpServer((request, responder) -> {
+		}, MAX_BODY_BYTES);
+		this.server.listen(this.group, address);
+		String request = "GET / HTTP/1.1\r\nX: " + "x".repeat(15_000) + "\r\n\r\n";
+		try (Socket socket = new Socket()) {
+			socket.connect(address, TIMEOUT_MILLIS);
+			Thread writer = new Thread(() -> {
+				try {
+					for (int i = 0; i < MANY; i++) {
+						socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+					}
+				}
+				catch (IOException ex) {
+					// Closed at the end of the test.
+				}
+			});
+			writer.start();
+			Thread.sleep(1000);
+			int read = this.group.submit(() -> this.server.inFlight().count()).syncUninterruptibly().getNow();
+			assertThat(read).isLessThan(20);
+		}
+	}
+
 	private void respondLater(String uri, Runnable responder) {
 		this.group.schedule(responder, 50, TimeUnit.MILLISECONDS);
 	}
