--- a/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
+++ b/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
@@ -1,5 +1,6 @@
 package io.lentilstream.control.http;
 
+import java.util.Map;
 import java.util.Optional;
 
 import io.netty.buffer.ByteBufUtil;
@@ -12,8 +13,8 @@
  */
 final class ReceivedRequest {
 
-	/** The memory that a request takes beside its body, in bytes. */
-	private static final int HEAD_BYTES = 512;
+	/** The memory that a request takes beside its head and body, in bytes. */
+	private static final int OBJECT_BYTES = 512;
 
 	private static final int BAD_REQUEST = 400;
 
@@ -27,6 +28,8 @@
 
 	private final long receivedAtNanos;
 
+	private final int size;
+
 	private boolean abandoned;
 
 	ReceivedRequest(FullHttpRequest request, long receivedAtNanos) {
@@ -35,6 +38,15 @@
 		this.refusalStatus = refusalStatus(request);
 		this.keepAlive = HttpUtil.isKeepAlive(request) && this.refusalStatus != BAD_REQUEST;
 		this.receivedAtNanos = receivedAtNanos;
+		this.size = OBJECT_BYTES + headLength() + this.content.body().length;
+	}
+
+	private int headLength() {
+		int length = this.content.uri().length();
+		for (Map.Entry<String, String> header : this.content.headers()) {
+			length += header.getKey().length() + header.getValue().length();
+		}
+		return length;
 	}
 
 	private static int refusalStatus(FullHttpRequest request) {
@@ -73,7 +85,7 @@
 	 * @return the size in bytes
 	 */
 	int size() {
-		return HEAD_BYTES + this.content.body().length;
+		return this.size;
 	}
 
 	String description() {
