--- a/control/src/main/java/io/lentilstream/control/ProcessExit.java
+++ b/control/src/main/java/io/lentilstream/control/ProcessExit.java
@@ -20,9 +20,7 @@
 	 */
 	public static void halt(int status, Runnable lastAction) {
 		try {
-			Thread limit = new Thread(() -> haltLater(status), "exit-limit");
-			limit.setDaemon(true);
-			limit.start();
+			startLimit(status);
 			lastAction.run();
 		}
 		finally {
@@ -30,6 +28,17 @@
 		}
 	}
 
+	private static void startLimit(int status) {
+		Thread limit = new Thread(() -> haltLater(status), "exit-limit");
+		limit.setDaemon(true);
+		try {
+			limit.start();
+		}
+		catch (OutOfMemoryError ex) {
+			// No thread is left; the last action is not limited then.
+		}
+	}
+
 	private static void haltLater(int status) {
 		try {
 			Thread.sleep(MAX_LAST_ACTION_MILLIS);
--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -6,6 +6,7 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
@@ -53,8 +54,6 @@
 	 */
 	private static final long MAX_RECEIVED_BYTES = 32L << 20;
 
-	private static final int BAD_REQUEST = 400;
-
 	/**
 	 * The size of the requests that wait behind another from which on a connection is not
 	 * read, in bytes.
@@ -220,9 +219,7 @@
 				return;
 			}
 			this.inputClosed = true;
-			if (this.closing || this.current == null) {
-				handlerContext.close();
-			}
+			closeIfAnswered();
 		}
 
 		@Override
@@ -260,8 +257,9 @@
 		}
 
 		private void handle(ReceivedRequest request) {
-			if (request.malformed()) {
-				respond(request, HttpHandler.Response.of(BAD_REQUEST));
+			Optional<HttpHandler.Response> refusal = request.refusal();
+			if (refusal.isPresent()) {
+				respond(request, refusal.get());
 				return;
 			}
 			HttpServer.this.handler.handle(request.content(), (response) -> {
@@ -301,9 +299,18 @@
 				if (last) {
 					closeOnceRead();
 				}
+				else if (this.inputClosed) {
+					closeIfAnswered();
+				}
 			});
 		}
 
+		private void closeIfAnswered() {
+			if (unanswered().isEmpty() && this.unsentResponses == 0) {
+				this.context.close();
+			}
+		}
+
 		// Closing a connection with bytes that were not read resets it, and a reset can
 		// discard the last response on its way.
 		private void closeOnceRead() {
@@ -313,6 +320,7 @@
 				return;
 			}
 			channel.shutdownOutput();
+			channel.config().setAutoRead(true);
 			channel.eventLoop().schedule(() -> channel.close(), MAX_LINGER_MILLIS, TimeUnit.MILLISECONDS);
 		}
 
@@ -323,8 +331,8 @@
 			for (int i = 0; i < requests.size() && !this.closing; i++) {
 				ReceivedRequest request = requests.get(i);
 				request.abandon();
-				HttpHandler.Response response = request.malformed() ? HttpHandler.Response.of(BAD_REQUEST)
-						: HttpServer.this.handler.unfinished(request.content());
+				HttpHandler.Response response = request.refusal()
+					.orElseGet(() -> HttpServer.this.handler.unfinished(request.content()));
 				send(response, !request.keepAlive() || i == requests.size() - 1);
 			}
 			return requests.size();
--- a/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
+++ b/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
@@ -1,33 +1,59 @@
 package io.lentilstream.control.http;
 
+import java.util.Map;
+import java.util.Optional;
+
 import io.netty.buffer.ByteBufUtil;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
  * A request that has been received and not answered.
  */
 final class ReceivedRequest {
 
-	/** The memory that a request takes beside its body, in bytes. */
-	private static final int HEAD_BYTES = 512;
+	/** The memory that a request takes beside its head and body, in bytes. */
+	private static final int OBJECT_BYTES = 512;
+
+	private static final int BAD_REQUEST = 400;
+
+	private static final int TOO_LARGE = 413;
 
 	private final HttpHandler.Request content;
 
 	private final boolean keepAlive;
 
-	private final boolean malformed;
+	private final int refusalStatus;
 
 	private final long receivedAtNanos;
 
+	private final int size;
+
 	private boolean abandoned;
 
 	ReceivedRequest(FullHttpRequest request, long receivedAtNanos) {
 		this.content = new HttpHandler.Request(request.method(), request.uri(), request.headers().copy(),
 				ByteBufUtil.getBytes(request.content()));
-		this.malformed = request.decoderResult().isFailure();
-		this.keepAlive = HttpUtil.isKeepAlive(request) && !this.malformed;
+		this.refusalStatus = refusalStatus(request);
+		this.keepAlive = HttpUtil.isKeepAlive(request) && this.refusalStatus != BAD_REQUEST;
 		this.receivedAtNanos = receivedAtNanos;
+		this.size = OBJECT_BYTES + headLength() + this.content.body().length;
+	}
+
+	private int headLength() {
+		int length = this.content.uri().length();
+		for (Map.Entry<String, String> header : this.content.headers()) {
+			length += header.getKey().length() + header.getValue().length();
+		}
+		return length;
+	}
+
+	private static int refusalStatus(FullHttpRequest request) {
+		if (!request.decoderResult().isFailure()) {
+			return 0;
+		}
+		return (request.decoderResult().cause() instanceof TooLongHttpContentException) ? TOO_LARGE : BAD_REQUEST;
 	}
 
 	HttpHandler.Request content() {
@@ -39,11 +65,11 @@
 	}
 
 	/**
-	 * Returns whether the request is not valid HTTP.
-	 * @return {@code true} if it could not be decoded
+	 * Returns the response to a request that is not handled.
+	 * @return the response; empty if the request is valid
 	 */
-	boolean malformed() {
-		return this.malformed;
+	Optional<HttpHandler.Response> refusal() {
+		return (this.refusalStatus == 0) ? Optional.empty() : Optional.of(HttpHandler.Response.of(this.refusalStatus));
 	}
 
 	/**
@@ -59,7 +85,7 @@
 	 * @return the size in bytes
 	 */
 	int size() {
-		return HEAD_BYTES + this.content.body().length;
+		return this.size;
 	}
 
 	String description() {
