Show that a request whose body arrives is cut by a stop

The new test fails: stop() takes a connection whose request has been read in part for an idle one and closes it, even after '100 Continue' was sent.

--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -214,6 +214,27 @@
 		}
 	}
 
+	// Guards against a request that is cut while its body arrives.
+	@Test
+	void aRequestWhoseBodyIsStillArrivingIsAnsweredByAStoppingServer() throws IOException, InterruptedException {
+		InetSocketAddress address = freeAddress();
+		this.server = new HttpServer((request, responder) -> respond(request.uri(), responder), MAX_BODY_BYTES);
+		this.server.listen(this.group, address);
+		try (Socket socket = new Socket()) {
+			socket.setSoTimeout(TIMEOUT_MILLIS);
+			socket.connect(address, TIMEOUT_MILLIS);
+			socket.getOutputStream()
+				.write("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n"
+					.getBytes(StandardCharsets.US_ASCII));
+			InputStream input = socket.getInputStream();
+			assertThat(read(input, 1)).startsWith("HTTP/1.1 100");
+			this.group.submit(this.server::stop).syncUninterruptibly();
+			Thread.sleep(PAUSE_MILLIS);
+			socket.getOutputStream().write("body".getBytes(StandardCharsets.US_ASCII));
+			assertThat(read(input, 1)).startsWith("HTTP/1.1 200").contains("connection: close");
+		}
+	}
+
 	// Guards against memory that grows with the heads of requests that wait.
 	@Test
 	void headsOfWaitingRequestsCountAsMemory() throws IOException, InterruptedException {
