Read idle connections once more before a shutdown closes them

Cause: a process without processor time closed connections as idle before it had read what had arrived on them. Change: each is read once more before it is closed.

--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -19,6 +19,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -346,7 +347,11 @@
 			return requests;
 		}
 
+		// A request may have arrived since the event loop last read.
 		private void closeIfIdle() {
+			if (this.context.channel().unsafe() instanceof AbstractNioChannel.NioUnsafe unsafe) {
+				unsafe.read();
+			}
 			if (this.current == null && this.waiting.isEmpty() && !this.closing) {
 				this.context.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
 			}
--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -14,6 +14,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
@@ -21,6 +22,7 @@
 import java.util.stream.IntStream;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.netty.util.concurrent.Future;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
@@ -273,6 +275,33 @@
 		}
 	}
 
+	// Guards against requests that are cut by a process which had no processor time.
+	@Test
+	void aRequestThatArrivesWhileTheEventLoopIsBusyIsAnsweredByAStoppingServer()
+			throws IOException, InterruptedException {
+		InetSocketAddress address = freeAddress();
+		this.server = new HttpServer((request, responder) -> respond(request.uri(), responder), MAX_BODY_BYTES);
+		this.server.listen(this.group, address);
+		try (Socket socket = new Socket()) {
+			socket.setSoTimeout(TIMEOUT_MILLIS);
+			socket.connect(address, TIMEOUT_MILLIS);
+			socket.getOutputStream().write(get("/first").getBytes(StandardCharsets.US_ASCII));
+			InputStream input = socket.getInputStream();
+			assertThat(read(input, 1)).contains("/first");
+			CountDownLatch busy = new CountDownLatch(1);
+			Future<?> stopped = this.group.submit(() -> {
+				busy.countDown();
+				Thread.sleep(PAUSE_MILLIS);
+				this.server.stop();
+				return null;
+			});
+			busy.await();
+			socket.getOutputStream().write(get("/second").getBytes(StandardCharsets.US_ASCII));
+			stopped.syncUninterruptibly();
+			assertThat(read(input, 1)).contains("/second").contains("connection: close");
+		}
+	}
+
 	// Guards against a request that is cut while its body arrives.
 	@Test
 	void aRequestWhoseBodyIsStillArrivingIsAnsweredByAStoppingServer() throws IOException, InterruptedException {
