Draw the ports of the review's processes below those of outgoing connections

The crash script takes as second minion one without a task of the job, and the stand-ins are compiled for 17.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/.."
 rm -rf target/review-2
 mkdir -p target/review-2
-javac -d target/review-2 review/standins-2/review2/*.java
+javac -encoding UTF-8 --release 17 -d target/review-2 review/standins-2/review2/*.java
--- a/review/standins-2/review2/CrashedServing.java
+++ b/review/standins-2/review2/CrashedServing.java
@@ -52,7 +52,7 @@
 			Thread.sleep(2000);
 			List<Minion> crashed = new ArrayList<>(d.minions.stream().filter((minion) -> minion.runs(first)).toList());
 			d.minions.stream()
-				.filter((minion) -> !crashed.contains(minion))
+				.filter((minion) -> !minion.runs(id))
 				.limit((int) (SHARE * MINIONS) - crashed.size())
 				.forEach(crashed::add);
 			if (d.trouble) {
@@ -73,6 +73,11 @@
 		Node.Answer answer = d.call(d.nodes.get(0), "GET", Deployment.HOST, Deployment.PREFIX + id, "");
 		long running = d.minions.stream().filter((minion) -> minion.runs(id)).count();
 		long failed = d.record.events(id).stream().filter((event) -> event.how().equals("failed")).count();
+		long stopped = d.record.events(id)
+			.stream()
+			.filter((event) -> event.how().equals("stopped") && event.minion().endsWith("-0"))
+			.count();
+		d.record.line(stopped + " of its runs were stopped on minions that never crashed");
 		d.record.line("the job is shown as " + answer.body() + "; " + running + " minions run its tasks; " + failed
 				+ " of its runs have ended failed; nobody has cancelled it");
 		return (answer.body().contains("failed") && failed == 0)
--- a/review/standins-2/review2/Node.java
+++ b/review/standins-2/review2/Node.java
@@ -15,6 +15,9 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -25,6 +28,12 @@
  */
 final class Node {
 
+	private static final int MIN_PORT = 12_000;
+
+	private static final int MAX_PORT = 32_000;
+
+	private static final Set<Integer> DRAWN = ConcurrentHashMap.newKeySet();
+
 	private static final HttpClient CLIENT = HttpClient.newBuilder()
 		.version(HttpClient.Version.HTTP_1_1)
 		.connectTimeout(Duration.ofSeconds(2))
@@ -61,14 +70,22 @@
 		this.values.putAll(changed);
 	}
 
+	/**
+	 * Draws a free port below the range of outgoing connections, which could take it before
+	 * the process listens.
+	 */
 	static int freePort() {
-		try (ServerSocket socket = new ServerSocket()) {
-			socket.setReuseAddress(true);
-			socket.bind(new InetSocketAddress(Server.HOST, 0));
-			return socket.getLocalPort();
-		}
-		catch (IOException ex) {
-			throw new IllegalStateException(ex);
+		while (true) {
+			int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+			try (ServerSocket socket = new ServerSocket()) {
+				socket.bind(new InetSocketAddress(Server.HOST, port));
+				if (DRAWN.add(port)) {
+					return port;
+				}
+			}
+			catch (IOException ex) {
+				// It is taken.
+			}
 		}
 	}
 
