Build addresses of VMs without looking up interfaces

Cause: the address was checked by a parser that drops the interface and built by one that looks it up, which leaves it unresolved if this machine has no such interface. Storing the VM then threw. The same happened to a successor that stored a VM again whose address names an interface of the former leader's machine.

The addresses of stored VMs are read without the interface, since their leases must be waited for.

Why it works: an address that was parsed always has an IP address, on every machine, so encoding it cannot fail.

--- a/control/src/main/java/io/lentilstream/control/term/RegisteredWorkers.java
+++ b/control/src/main/java/io/lentilstream/control/term/RegisteredWorkers.java
@@ -14,6 +14,7 @@
 import org.msgpack.core.MessagePackException;
 import org.msgpack.core.MessageUnpacker;
 
+import io.lentilstream.control.IpAddressParser;
 import io.lentilstream.jobs.WorkerId;
 import io.lentilstream.jobs.WorkerListing;
 import io.lentilstream.model.Resources;
@@ -89,7 +90,10 @@
 		WorkerId id = new WorkerId(unpacker.unpackString());
 		long incarnationStartMillis = unpacker.unpackLong();
 		ServiceName service = new ServiceName(unpacker.unpackString());
-		InetSocketAddress address = new InetSocketAddress(unpacker.unpackString(), unpacker.unpackInt());
+		String host = unpacker.unpackString();
+		// Earlier versions stored addresses with an interface of the leader's machine.
+		InetSocketAddress address = IpAddressParser.parseWithoutScope(host, unpacker.unpackInt())
+			.orElseThrow(() -> new IOException("address of VM " + id + " is not an IP address: " + host));
 		return new WorkerListing(id, incarnationStartMillis, service, address, "", false, "", Resources.NONE, Set.of());
 	}
 
--- a/control/src/test/java/io/lentilstream/control/term/WorkerRegistryTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/WorkerRegistryTests.java
@@ -1,5 +1,6 @@
 package io.lentilstream.control.term;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Arrays;
 import java.util.List;
@@ -8,6 +9,8 @@
 import java.util.function.Consumer;
 
 import org.junit.jupiter.api.Test;
+import org.msgpack.core.MessageBufferPacker;
+import org.msgpack.core.MessagePack;
 
 import io.lentilstream.control.ManualEventLoop;
 import io.lentilstream.control.leadership.Leadership;
@@ -169,6 +172,23 @@
 		return registered().workers().stream().map((worker) -> worker.id().value()).toList();
 	}
 
+	// Guards against leaders that end when they store the VMs of an earlier leader again.
+	@Test
+	void aStoredVmWhoseAddressNamesAnInterfaceOfAnotherMachineIsStoredAgain() throws IOException {
+		MessageBufferPacker packer = MessagePack.newDefaultBufferPacker();
+		packer.packArrayHeader(1).packString("w1").packLong(1).packString("s");
+		packer.packString("fe80:0:0:0:0:0:0:1%gone0").packInt(8080);
+		packer.packMapHeader(0).packInt(TERM - 1);
+		byte[] again = RegisteredWorkers.decode(packer.toByteArray(), WorkerRegistryTests::fail).encode();
+		assertThat(RegisteredWorkers.decode(again, WorkerRegistryTests::fail).workers())
+			.extracting((worker) -> worker.id().value())
+			.containsExactly("w1");
+	}
+
+	private static void fail(Exception ex) {
+		throw new AssertionError(ex);
+	}
+
 	private RegisteredWorkers registered() {
 		return RegisteredWorkers.decode(this.store.value(JobKeys.WORKERS), (ex) -> {
 			throw new IllegalStateException(ex);
