Do not abandon a response that is arriving

Cause: calls to the store had a fixed time for the whole response, 0.7 s after a failure. The versions of the configuration that were missed take 1.3 s on this link, so that each poll was abandoned and sent again until the store had forgotten the history. Shown by new fields of store-regained and watch-history-gone on the code before: 22 failed calls, the last with 510,065 bytes received, the last of them 1 ms ago.

Change: a call times out before its response begins; a response that has begun may pause for 0.7 s and take 10 s in all. The watcher of the configuration reads the current items after a failed poll, or if an item has changed several times since the last poll, instead of every version.

Why it works: whether a response is abandoned no longer depends on its size, and what has to be read no longer depends on how many versions were missed.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -99,7 +99,8 @@
 				this::lastStoreReplyAt);
 		this.peerServer = new PeerServer(this.service::handleFrame, this.followers);
 		this.configurationWatcher = new PrefixWatcher(dependencies.loop(), dependencies.store(), dependencies.log(),
-				source.prefix(), new PrefixWatcher.WatchTiming(1000, 0), new ConfigurationListener());
+				source.prefix(), new PrefixWatcher.WatchOptions(1000, 0, PrefixWatcher.CatchUp.CURRENT_ITEMS),
+				new ConfigurationListener());
 	}
 
 	/**
--- a/control/src/main/java/io/lentilstream/control/http/HttpCall.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpCall.java
@@ -12,8 +12,8 @@
  * @param uri path and query
  * @param headers headers in addition to those that the client sets
  * @param body the body; empty if there is none
- * @param timeoutMillis maximum time until the response, including the time in the queue,
- * in milliseconds
+ * @param timeoutMillis maximum time until the response begins, including the time in the
+ * queue, in milliseconds; a response that has begun may take longer while it arrives
  */
 public record HttpCall(HttpMethod method, String uri, Map<String, String> headers, byte[] body, long timeoutMillis) {
 
@@ -22,8 +22,8 @@
 	/**
 	 * Creates a GET call without a body and headers.
 	 * @param uri path and query
-	 * @param timeoutMillis maximum time until the response, including the time in the
-	 * queue, in milliseconds
+	 * @param timeoutMillis maximum time until the response begins, including the time in
+	 * the queue, in milliseconds
 	 * @return the call
 	 */
 	public static HttpCall get(String uri, long timeoutMillis) {
@@ -34,8 +34,8 @@
 	 * Creates a POST call with a JSON body.
 	 * @param uri path and query
 	 * @param body the body
-	 * @param timeoutMillis maximum time until the response, including the time in the
-	 * queue, in milliseconds
+	 * @param timeoutMillis maximum time until the response begins, including the time in
+	 * the queue, in milliseconds
 	 * @return the call
 	 */
 	public static HttpCall post(String uri, byte[] body, long timeoutMillis) {
--- a/control/src/main/java/io/lentilstream/control/http/HttpConnection.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpConnection.java
@@ -29,8 +29,15 @@
 
 	private long lastResponseAt;
 
+	private final ResponseProgress progress;
+
 	HttpConnection(HttpConnectionPool pool) {
 		this.pool = pool;
+		this.progress = new ResponseProgress(pool::now);
+	}
+
+	ResponseProgress progress() {
+		return this.progress;
 	}
 
 	void setChannel(Channel opened) {
@@ -61,6 +68,7 @@
 	void send(HttpConnectionPool.PendingCall pending) {
 		this.current = pending;
 		this.sentAt = this.pool.now();
+		this.progress.reset();
 		HttpCall call = pending.call;
 		DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, call.method(), call.uri(),
 				Unpooled.wrappedBuffer(call.body()));
--- a/control/src/main/java/io/lentilstream/control/http/HttpConnectionPool.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpConnectionPool.java
@@ -48,6 +48,8 @@
 
 	private final ArrayDeque<PendingCall> queue = new ArrayDeque<>();
 
+	private final ResponseTimeoutRule responseTimeout = new ResponseTimeoutRule();
+
 	private int connecting;
 
 	private boolean closed;
@@ -141,7 +143,8 @@
 			@Override
 			protected void initChannel(SocketChannel channel) {
 				channel.pipeline()
-					.addLast(new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES), connection);
+					.addLast(connection.progress(), new HttpClientCodec(), new HttpObjectAggregator(MAX_RESPONSE_BYTES),
+							connection);
 			}
 		});
 		client.connect(this.address)
@@ -175,12 +178,21 @@
 	private void timeOut(PendingCall pending) {
 		if (this.queue.remove(pending)) {
 			pending.complete(new HttpResult.NotSent("timed out waiting for a connection"));
+			return;
+		}
+		HttpConnection connection = pending.connection;
+		if (connection == null) {
+			return;
 		}
-		else if (pending.connection != null) {
-			// First, since the callback of the call may make another one at once.
-			closeIdleConnectionsSilentSince(pending.connection.sentAt());
-			pending.connection.fail("timed out waiting for a response");
+		long now = this.loop.now();
+		long deadline = this.responseTimeout.deadline(connection.sentAt(), connection.progress());
+		if (now < deadline) {
+			pending.timeout = this.loop.schedule(deadline - now, () -> timeOut(pending));
+			return;
 		}
+		// First, since the callback of the call may make another one at once.
+		closeIdleConnectionsSilentSince(connection.sentAt());
+		connection.fail(connection.progress().describeTimeout(now));
 	}
 
 	// Connections often go silent together. Calls that find out one after the other take
--- a/control/src/main/java/io/lentilstream/control/store/PrefixWatcher.java
+++ b/control/src/main/java/io/lentilstream/control/store/PrefixWatcher.java
@@ -9,8 +9,10 @@
 
 /**
  * Watches all items whose keys start with a prefix. Reads them once, then polls for
- * changes, and reads them again if the history of changes was compacted. Each poll waits
- * only briefly, so that a broken connection is detected early.
+ * changes, and reads them again if the history of changes was compacted. If only the
+ * current items matter, also reads them again after a failed poll, or if an item has
+ * changed several times since the last one. Each poll waits only briefly, so that a
+ * broken connection is detected early.
  */
 public final class PrefixWatcher {
 
@@ -24,7 +26,7 @@
 
 	private final String prefix;
 
-	private final WatchTiming timing;
+	private final WatchOptions options;
 
 	private final Listener listener;
 
@@ -36,6 +38,12 @@
 
 	private boolean failing;
 
+	/** The number of calls in a row that have failed. */
+	private int failedCalls;
+
+	/** The reply to the last call that failed. */
+	private StoreReply<MetadataStore.Page> lastFailure;
+
 	private long lastReplyAt = Long.MIN_VALUE / 2;
 
 	private long stableSince = Long.MAX_VALUE;
@@ -46,16 +54,16 @@
 	 * @param store the store
 	 * @param log receives a line when the store becomes unreachable or reachable again
 	 * @param prefix the prefix
-	 * @param timing the wait of each poll and the pause between polls
+	 * @param options how to poll for changes
 	 * @param listener receives the items
 	 */
-	public PrefixWatcher(EventLoop loop, MetadataStore store, DecisionLog log, String prefix, WatchTiming timing,
+	public PrefixWatcher(EventLoop loop, MetadataStore store, DecisionLog log, String prefix, WatchOptions options,
 			Listener listener) {
 		this.loop = loop;
 		this.store = store;
 		this.log = log;
 		this.prefix = prefix;
-		this.timing = timing;
+		this.options = options;
 		this.listener = listener;
 	}
 
@@ -138,7 +146,15 @@
 			return;
 		}
 		// After a failure, polls without waiting, to detect the recovery of the store.
-		this.store.watch(this.prefix, this.revision, this.failing ? 0 : this.timing.waitMillis(), this::watched);
+		this.store.watch(this.prefix, this.revision, this.failing ? 0 : this.options.waitMillis(), this::watched);
+	}
+
+	private void catchUp() {
+		if (this.options.catchUp() == CatchUp.CURRENT_ITEMS && !this.stopped) {
+			start();
+			return;
+		}
+		watch();
 	}
 
 	private void watched(StoreReply<MetadataStore.Page> reply) {
@@ -146,13 +162,14 @@
 			return;
 		}
 		if (reply instanceof StoreReply.Gone<MetadataStore.Page>) {
-			this.log.append("watch-history-gone", this.prefix, "revision", this.revision);
+			this.log.append("watch-history-gone", this.prefix, "revision", this.revision, "failed-calls",
+					this.failedCalls, "last-failure", describeLastFailure());
 			start();
 			return;
 		}
 		if (!(reply instanceof StoreReply.Ok<MetadataStore.Page> page)) {
 			markUnreachable("watch", reply);
-			this.loop.schedule(RETRY_DELAY_MILLIS, this::watch);
+			this.loop.schedule(RETRY_DELAY_MILLIS, this::catchUp);
 			return;
 		}
 		markReachable();
@@ -166,7 +183,17 @@
 			}
 		}
 		deliver(page.value().items());
-		this.loop.schedule(page.value().items().isEmpty() ? 0 : this.timing.pauseMillis(), this::watch);
+		if (hasOutdatedItems(page.value().items())) {
+			catchUp();
+			return;
+		}
+		this.loop.schedule(page.value().items().isEmpty() ? 0 : this.options.pauseMillis(), this::watch);
+	}
+
+	// Changes that come faster than this machine receives them would delay each other.
+	private boolean hasOutdatedItems(List<StoredItem> items) {
+		return this.options.catchUp() == CatchUp.CURRENT_ITEMS
+				&& items.stream().map(StoredItem::key).distinct().count() < items.size();
 	}
 
 	private void deliver(List<StoredItem> items) {
@@ -179,25 +206,50 @@
 		this.stableSince = Math.min(this.stableSince, this.lastReplyAt);
 		if (this.failing) {
 			this.failing = false;
-			this.log.append("store-regained", this.prefix, "revision", this.revision);
+			this.log.append("store-regained", this.prefix, "revision", this.revision, "failed-calls", this.failedCalls,
+					"last-failure", describeLastFailure());
+			this.failedCalls = 0;
 		}
 	}
 
 	private void markUnreachable(String call, StoreReply<MetadataStore.Page> reply) {
 		this.stableSince = Long.MAX_VALUE;
+		this.failedCalls++;
+		this.lastFailure = reply;
 		if (!this.failing) {
 			this.failing = true;
 			this.log.append("store-lost", this.prefix, "call", call, "reply", reply);
 		}
 	}
 
+	private Object describeLastFailure() {
+		return (this.failedCalls > 0) ? this.lastFailure : "none";
+	}
+
 	/**
-	 * How often to poll for changes.
+	 * How to poll for changes.
 	 *
 	 * @param waitMillis how long a poll waits for changes, in milliseconds
 	 * @param pauseMillis pause after a poll that returned changes, in milliseconds
+	 * @param catchUp what to read after a failed poll, or if items change fast
+	 */
+	public record WatchOptions(long waitMillis, long pauseMillis, CatchUp catchUp) {
+	}
+
+	/**
+	 * What to read after a failed poll, or if items change fast.
 	 */
-	public record WatchTiming(long waitMillis, long pauseMillis) {
+	public enum CatchUp {
+
+		/** All changes since the last successful poll, in order. */
+		CHANGES,
+
+		/**
+		 * All current items. For few large items that change often, of which only the
+		 * latest value matters.
+		 */
+		CURRENT_ITEMS
+
 	}
 
 	/**
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -53,9 +53,11 @@
 	/** Maximum number of jobs deleted in one commit; each has three items. */
 	private static final int JOBS_PER_CLEANUP = 10;
 
-	private static final PrefixWatcher.WatchTiming INTAKE_TIMING = new PrefixWatcher.WatchTiming(1000, 200);
+	private static final PrefixWatcher.WatchOptions INTAKE_TIMING = new PrefixWatcher.WatchOptions(1000, 200,
+			PrefixWatcher.CatchUp.CHANGES);
 
-	private static final PrefixWatcher.WatchTiming WORKER_LIST_TIMING = new PrefixWatcher.WatchTiming(1000, 250);
+	private static final PrefixWatcher.WatchOptions WORKER_LIST_TIMING = new PrefixWatcher.WatchOptions(1000, 250,
+			PrefixWatcher.CatchUp.CHANGES);
 
 	private final EventLoop loop;
 
--- a/control/src/test/java/io/lentilstream/control/http/HttpConnectionPoolTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpConnectionPoolTests.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
 import java.util.stream.Stream;
 
@@ -35,6 +36,9 @@
 
 	private static final long MAX_WAIT_MILLIS = 20_000;
 
+	/** How long bytes take to reach the client at most, in milliseconds. */
+	private static final long READ_MILLIS = 20;
+
 	/** Runs timers only when a test advances its time. */
 	private final ManualEventLoop timers = new ManualEventLoop();
 
@@ -44,6 +48,8 @@
 
 	private final List<Socket> silent = new CopyOnWriteArrayList<>();
 
+	private final AtomicInteger receivedRequests = new AtomicInteger();
+
 	/** Whether responses are held back. */
 	private volatile boolean paused;
 
@@ -98,6 +104,55 @@
 		assertThat(this.accepted).isEqualTo(opened);
 	}
 
+	// Guards against a response of the store that takes longer than the timeout on a slow
+	// link, and is abandoned and requested again without end.
+	@Test
+	void aResponseThatKeepsArrivingIsNotAbandoned() throws Exception {
+		CompletableFuture<HttpResult> result = callAndReceive("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\n");
+		for (int i = 0; i < 19; i++) {
+			advance(TIMEOUT_MILLIS / 2);
+			receive("x");
+		}
+		assertThat(result).isNotDone();
+		receive("x");
+		assertThat(result.get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS)).isInstanceOf(HttpResult.Response.class);
+	}
+
+	@Test
+	void aResponseThatStallsIsAbandoned() throws Exception {
+		CompletableFuture<HttpResult> result = callAndReceive("HTTP/1.1 200 OK\r\n");
+		advance(ResponseTimeoutRule.MAX_PAUSE_MILLIS);
+		assertThat(result.get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS))
+			.isEqualTo(new HttpResult.NoResponse("timed out receiving a response: 17 bytes, the last "
+					+ ResponseTimeoutRule.MAX_PAUSE_MILLIS + " ms ago"));
+	}
+
+	@Test
+	void aResponseThatNeverEndsIsAbandoned() throws Exception {
+		CompletableFuture<HttpResult> result = callAndReceive("HTTP/1.1 200 OK\r\n");
+		for (long i = 0; i < ResponseTimeoutRule.MAX_RESPONSE_MILLIS && !result.isDone(); i += 500) {
+			receive("x");
+			advance(500);
+		}
+		assertThat(result.get(MAX_WAIT_MILLIS, TimeUnit.MILLISECONDS)).isInstanceOf(HttpResult.NoResponse.class);
+	}
+
+	private CompletableFuture<HttpResult> callAndReceive(String start) throws Exception {
+		this.paused = true;
+		CompletableFuture<HttpResult> result = call();
+		await(() -> this.receivedRequests.get() > 0);
+		receive(start);
+		return result;
+	}
+
+	// Returns once the client has read the bytes.
+	private void receive(String bytes) throws Exception {
+		this.accepted.get(0).getOutputStream().write(bytes.getBytes(StandardCharsets.US_ASCII));
+		TimeUnit.MILLISECONDS.sleep(READ_MILLIS);
+		this.group.submit(() -> {
+		}).get();
+	}
+
 	private void openAllConnections() throws Exception {
 		this.paused = true;
 		List<CompletableFuture<HttpResult>> results = callAtOnce();
@@ -151,6 +206,7 @@
 		BufferedReader reader = new BufferedReader(
 				new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
 		for (String line = reader.readLine(); line != null; line = reader.readLine()) {
+			this.receivedRequests.addAndGet(line.isEmpty() ? 1 : 0);
 			if (line.isEmpty() && !this.silent.contains(socket)) {
 				while (this.paused) {
 					TimeUnit.MILLISECONDS.sleep(1);
--- a/control/src/test/java/io/lentilstream/control/store/PrefixWatcherRereadTests.java
+++ b/control/src/test/java/io/lentilstream/control/store/PrefixWatcherRereadTests.java
@@ -22,7 +22,8 @@
 	private final Set<String> seen = new HashSet<>();
 
 	private final PrefixWatcher watcher = new PrefixWatcher(this.loop, this.store, (decision, subject, inputs) -> {
-	}, "a/", new PrefixWatcher.WatchTiming(1000, 0), (item) -> this.seen.add(item.key()));
+	}, "a/", new PrefixWatcher.WatchOptions(1000, 0, PrefixWatcher.CatchUp.CHANGES),
+			(item) -> this.seen.add(item.key()));
 
 	@Test
 	void aChangeIsDeliveredAfterLostHistoryAlthoughEveryThirdReadGetsNoReply() {
--- a/control/src/test/java/io/lentilstream/control/store/PrefixWatcherTests.java
+++ b/control/src/test/java/io/lentilstream/control/store/PrefixWatcherTests.java
@@ -17,9 +17,7 @@
 
 	private final List<String> events = new ArrayList<>();
 
-	private final PrefixWatcher watcher = new PrefixWatcher(this.loop, this.store, (decision, subject, inputs) -> {
-	}, "a/", new PrefixWatcher.WatchTiming(1000, 0),
-			(item) -> this.events.add(item.key() + (item.exists() ? "" : " deleted")));
+	private final PrefixWatcher watcher = watcher(this.store, PrefixWatcher.CatchUp.CHANGES);
 
 	@Test
 	void itemsAndLaterChangesAreDelivered() {
@@ -75,4 +73,52 @@
 		assertThat(this.watcher.stableSince()).isBetween(first + 5000, this.loop.now());
 	}
 
+	// Guards against a machine on a slow link that stays with an old configuration after
+	// an
+	// outage, since it reads all versions that it has missed.
+	@Test
+	void afterAnOutageOnlyTheCurrentItemsAreReadIfOnlyTheyMatter() {
+		PrefixWatcher current = watcher(this.store, PrefixWatcher.CatchUp.CURRENT_ITEMS);
+		this.store.put("a/1", new byte[1]);
+		current.start();
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.SILENT;
+		this.loop.runFor(2000);
+		for (int i = 0; i < 10; i++) {
+			this.store.put("a/1", new byte[1]);
+		}
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.loop.runFor(2000);
+		assertThat(this.events).containsExactly("a/1", "a/1");
+		this.store.put("a/1", new byte[1]);
+		this.loop.runFor(100);
+		assertThat(this.events).hasSize(3);
+	}
+
+	// Guards against versions that delay each other because all of them are read.
+	@Test
+	void itemsThatChangeFasterThanTheyAreReadAreReadAgain() {
+		DisturbedStore counting = new DisturbedStore(this.loop, this.store, 5);
+		PrefixWatcher current = watcher(counting, PrefixWatcher.CatchUp.CURRENT_ITEMS);
+		current.start();
+		this.loop.runFor(100);
+		int before = counting.reads.size();
+		this.store.put("a/1", new byte[1]);
+		this.loop.runFor(100);
+		assertThat(counting.reads).hasSize(before);
+		this.store.commit(new Commit().write("a/2", new byte[1], 0).write("a/2", new byte[1], 0), (reply) -> {
+		});
+		this.loop.runFor(100);
+		assertThat(counting.reads).hasSize(before + 1);
+		this.store.put("a/3", new byte[1]);
+		this.loop.runFor(100);
+		assertThat(this.events).endsWith("a/3");
+	}
+
+	private PrefixWatcher watcher(MetadataStore watched, PrefixWatcher.CatchUp catchUp) {
+		return new PrefixWatcher(this.loop, watched, (decision, subject, inputs) -> {
+		}, "a/", new PrefixWatcher.WatchOptions(1000, 0, catchUp),
+				(item) -> this.events.add(item.key() + (item.exists() ? "" : " deleted")));
+	}
+
 }
