Rely on the expired lease of a lost leader for cancellations

What callers saw: cancellations were not acknowledged within 4 s while the store and all links were undisturbed.

Cause: a successor waits for the leases that its predecessor may have granted to a silent VM, and takes the predecessor to have led for 2.5 s after the election. That happens only if the leader or the store ends its lease early. Shown by cancellation-pending, "VM has not reported since the takeover", until the wait had 3.2 s left, 4.0 s after the takeover.

Change: followers notice whether the store still names a leader after its connection is lost, by a read sent after the loss. Such a lease runs out, and the leases that rest on it end 4.7 s after the election, which the guarantee of a cancellation uses. Tasks are started anew after the same wait as before.

Why it works: a leader ends its lease before it closes its connections, so one that is named after that has not ended it.

The stand-in for leaders in VirtualWorld says now whether the lease of a lost one has run out.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -255,6 +255,16 @@
 			node.dependencies.loop().schedule(LEADER_RECHECK_MILLIS, node.leadership::checkLeader);
 		}
 
+		@Override
+		public void leaderLost() {
+			ControlNode.this.leadership.leaderLost();
+		}
+
+		@Override
+		public void leaderAnswered() {
+			ControlNode.this.leadership.leaderAnswered();
+		}
+
 		@Override
 		public void leaderResigned() {
 			ControlNode.this.leadership.succeed();
--- a/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
+++ b/control/src/main/java/io/lentilstream/control/leadership/Leadership.java
@@ -110,6 +110,8 @@
 
 	private long leaderlessSince = -1;
 
+	private final LeaseExpiryDetector leaseExpiry = new LeaseExpiryDetector();
+
 	/** When a check last found a leader; -1 if none did. */
 	private long leaderSeenAt = -1;
 
@@ -142,7 +144,8 @@
 			return;
 		}
 		this.checkInFlight = true;
-		this.store.read(LEADER_KEY, this::leaderRead);
+		long readAt = this.loop.now();
+		this.store.read(LEADER_KEY, (reply) -> leaderRead(reply, readAt));
 	}
 
 	/**
@@ -155,6 +158,20 @@
 		checkLeader();
 	}
 
+	/**
+	 * Notes that the known leader cannot be reached, or has closed its connection.
+	 */
+	public void leaderLost() {
+		this.leaseExpiry.lost(this.loop.now());
+	}
+
+	/**
+	 * Notes that the known leader has answered.
+	 */
+	public void leaderAnswered() {
+		this.leaseExpiry.answered();
+	}
+
 	/**
 	 * Returns the known leader.
 	 * @return the leader, or empty if none is known
@@ -251,7 +268,7 @@
 		});
 	}
 
-	private void leaderRead(StoreReply<StoredItem> reply) {
+	private void leaderRead(StoreReply<StoredItem> reply, long readAt) {
 		this.checkInFlight = false;
 		if (this.state != State.FOLLOWING) {
 			return;
@@ -264,7 +281,7 @@
 			this.leaderlessSince = -1;
 			this.leaderSeenAt = this.loop.now();
 			this.named = false;
-			follow(item.value());
+			follow(item.value(), readAt);
 			return;
 		}
 		this.leader = null;
@@ -298,7 +315,7 @@
 		return this.leadUntil != Long.MAX_VALUE;
 	}
 
-	private void follow(StoredItem item) {
+	private void follow(StoredItem item, long readAt) {
 		try {
 			LeaderRecord record = LeaderRecord.decode(item.value());
 			if (record.equals(this.claim)) {
@@ -309,6 +326,12 @@
 				this.log.append("leader-found", record.node(), "term", record.term(), "revision", item.revision());
 			}
 			this.leader = record;
+			if (record.node().equals(this.candidate.node())) {
+				this.leaseExpiry.foundFormerIncarnation(record, readAt);
+			}
+			else {
+				this.leaseExpiry.found(record, readAt);
+			}
 			this.listener.leaderFound(record);
 		}
 		catch (IOException ex) {
@@ -416,7 +439,8 @@
 				(this.leaderSeenAt >= 0) ? now - this.leaderSeenAt : -1);
 		this.leaderlessSince = -1;
 		this.leaderSeenAt = now;
-		this.listener.leadershipWon(new LeaderTerm(this.claim.term(), fencingToken, () -> this.leaseValidUntil));
+		this.listener.leadershipWon(new LeaderTerm(this.claim.term(), fencingToken, () -> this.leaseValidUntil,
+				this.leaseExpiry.leaseExpired()));
 		scheduleRenewal();
 	}
 
@@ -495,8 +519,10 @@
 	 * @param fencingToken the fencing token, greater than those of all earlier terms
 	 * @param leaseValidUntil returns when the lease expires unless renewed again, on the
 	 * steady clock in milliseconds
+	 * @param predecessorLeaseExpired whether the lease of the predecessor ran out
 	 */
-	public record LeaderTerm(int number, long fencingToken, LongSupplier leaseValidUntil) {
+	public record LeaderTerm(int number, long fencingToken, LongSupplier leaseValidUntil,
+			boolean predecessorLeaseExpired) {
 	}
 
 	/**
--- a/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
+++ b/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
@@ -163,6 +163,7 @@
 		if (!future.isSuccess()) {
 			this.leader = null;
 			this.log.append("leader-unreachable", address, "error", future.cause().getMessage());
+			this.listener.leaderLost();
 			this.listener.leaderDoubtful();
 			return;
 		}
@@ -183,6 +184,9 @@
 			}
 			boolean alive = reply.filter((frame) -> frame.kind() == PeerFrame.Kind.PONG).isPresent();
 			this.unansweredPings = alive ? 0 : this.unansweredPings + 1;
+			if (alive) {
+				this.listener.leaderAnswered();
+			}
 			if (alive && reply.get().number() == 0) {
 				// The leader's lease may have expired and another process been elected.
 				this.listener.leaderDoubtful();
@@ -191,6 +195,9 @@
 				InetSocketAddress formerLeader = this.leader;
 				this.log.append("leader-link-lost", String.valueOf(formerLeader), "unanswered", this.unansweredPings);
 				disconnect();
+				if (reply.isEmpty()) {
+					this.listener.leaderLost();
+				}
 				this.listener.leaderDoubtful();
 				return;
 			}
@@ -219,6 +226,7 @@
 		if (this.channel != null && address.equals(this.leader) && !this.channel.isActive()) {
 			this.log.append("leader-link-closed", address);
 			disconnect();
+			this.listener.leaderLost();
 			this.listener.leaderDoubtful();
 		}
 	}
@@ -248,6 +256,19 @@
 		 */
 		void leaderDoubtful();
 
+		/**
+		 * Called when the connection to the leader was lost or cannot be opened, before
+		 * {@link #leaderDoubtful}.
+		 */
+		default void leaderLost() {
+		}
+
+		/**
+		 * Called when the leader has answered.
+		 */
+		default void leaderAnswered() {
+		}
+
 		/**
 		 * Called when the leader has ended its lease and tells this process as its
 		 * successor.
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -28,6 +28,7 @@
 import io.lentilstream.jobs.codec.SubmissionCodec;
 import io.lentilstream.jobs.scheduling.JobScheduler;
 import io.lentilstream.jobs.scheduling.LeadershipLease;
+import io.lentilstream.jobs.scheduling.Predecessor;
 import io.lentilstream.jobs.scheduling.SchedulerSettings;
 import io.lentilstream.model.AvailabilityZoneId;
 import io.lentilstream.model.JobId;
@@ -93,6 +94,8 @@
 
 	private final long startedAt;
 
+	private final Predecessor predecessor;
+
 	private Map<String, QueuePolicy> policies = Map.of();
 
 	private Set<AvailabilityZoneId> evacuatedZones = Set.of();
@@ -133,6 +136,7 @@
 		this.resign = resign;
 		this.fencingToken = leaderTerm.fencingToken();
 		this.startedAt = this.loop.now();
+		this.predecessor = new Predecessor(this.startedAt, leaderTerm.predecessorLeaseExpired());
 		this.commandClient = platform.commandClient(leaderTerm.fencingToken());
 		this.scheduler = new JobScheduler(settings, new ResultNotifyingCommands(this.commandClient, this::tickSoon),
 				this.log, this.loop::now, this.loop::wallClockMillis,
@@ -344,8 +348,9 @@
 		cancelled.forEach(this::jobCancelled);
 		this.log.append("term-begun", this.fencingToken, "jobs", initialState.intake.items().size(), "workers",
 				registered.workers().size(), "leases-left-to-expire", registered.expiringLeases().size(),
-				"failed-reads", this.failedReads, "after-ms", this.loop.now() - this.startedAt);
-		this.scheduler.start(registered.workers());
+				"predecessor-lease-expired", this.predecessor.leaseExpired(), "failed-reads", this.failedReads,
+				"after-ms", this.loop.now() - this.startedAt);
+		this.scheduler.start(registered.workers(), this.predecessor);
 		this.intake.startAfter(keys, initialState.intake.asOfRevision());
 		this.workerList.start();
 		tickPeriodically();
--- a/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
+++ b/control/src/test/java/io/lentilstream/control/leadership/LeadershipTests.java
@@ -337,6 +337,20 @@
 		assertThat(this.first.terms).containsExactly(0);
 	}
 
+	@Test
+	void theSuccessorOfALeaderThatEndedItsLeaseDoesNotTakeItForExpired() {
+		this.first.leadership.checkLeader();
+		this.loop.runFor(100);
+		this.second.leadership.checkLeader();
+		this.loop.runFor(100);
+		this.first.leadership.resign("shutdown", true);
+		this.second.leadership.leaderLost();
+		this.loop.runFor(250);
+		this.second.leadership.checkLeader();
+		this.loop.runFor(100);
+		assertThat(this.second.expiredLeases).containsExactly(false);
+	}
+
 	@Test
 	void theLogTellsHowLongAProcessSawNoLeaderBeforeItWon() {
 		this.first.leadership.checkLeader();
@@ -365,6 +379,8 @@
 
 		private final List<Integer> terms = new ArrayList<>();
 
+		private final List<Boolean> expiredLeases = new ArrayList<>();
+
 		private int lost;
 
 		private int ending;
@@ -382,6 +398,7 @@
 		public void leadershipWon(Leadership.LeaderTerm leaderTerm) {
 			this.tokens.add(leaderTerm.fencingToken());
 			this.terms.add(leaderTerm.number());
+			this.expiredLeases.add(leaderTerm.predecessorLeaseExpired());
 		}
 
 		@Override
--- a/control/src/test/java/io/lentilstream/control/leadership/SuspendedLeaderTests.java
+++ b/control/src/test/java/io/lentilstream/control/leadership/SuspendedLeaderTests.java
@@ -1,6 +1,8 @@
 package io.lentilstream.control.leadership;
 
 import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Random;
 
 import org.junit.jupiter.api.Test;
@@ -19,6 +21,8 @@
 
 	private final MemoryStore store = new MemoryStore(this.loop);
 
+	private final List<Boolean> expiredLeases = new ArrayList<>();
+
 	private final Leadership first = leadership(this.suspendable, "a");
 
 	private final Leadership second = leadership(this.loop, "b");
@@ -37,6 +41,20 @@
 		assertThat(this.first.leaseHeld()).isFalse();
 	}
 
+	@Test
+	void theSuccessorOfALostLeaderKnowsThatItsLeaseExpired() {
+		this.first.checkLeader();
+		run(520);
+		this.second.checkLeader();
+		this.loop.runFor(100);
+		this.second.leaderLost();
+		for (int i = 0; i < 12; i++) {
+			this.loop.runFor(250);
+			this.second.checkLeader();
+		}
+		assertThat(this.expiredLeases).containsExactly(false, true);
+	}
+
 	private void run(long millis) {
 		for (long i = 0; i < millis; i++) {
 			this.loop.runFor(1);
@@ -51,7 +69,7 @@
 
 					@Override
 					public void leadershipWon(Leadership.LeaderTerm leaderTerm) {
-						// Not needed.
+						SuspendedLeaderTests.this.expiredLeases.add(leaderTerm.predecessorLeaseExpired());
 					}
 
 					@Override
--- a/control/src/test/java/io/lentilstream/control/term/TermLoadTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/TermLoadTests.java
@@ -46,7 +46,7 @@
 	private final Term term = new Term(
 			new Term.Dependencies(this.loop, this.store,
 					(decision, subject, inputs) -> this.log.add(decision + " " + Arrays.toString(inputs))),
-			new Leadership.LeaderTerm(1, TOKEN, () -> Long.MAX_VALUE), new NoWorkers(),
+			new Leadership.LeaderTerm(1, TOKEN, () -> Long.MAX_VALUE, false), new NoWorkers(),
 			new SchedulerSettings(6000, 3, 4000, 4000, 3000, Set.of()), 60_000, (reason) -> {
 			}, () -> true, () -> 0);
 
--- a/control/src/test/java/io/lentilstream/control/term/TermTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/TermTests.java
@@ -197,7 +197,7 @@
 		this.loop.runFor(10);
 		Term term = new Term(
 				new Term.Dependencies(this.loop, this.store, (decision, subject, inputs) -> this.log.add(decision)),
-				new Leadership.LeaderTerm(this.terms++, token.get(0), () -> Long.MAX_VALUE), new OneVmPlatform(),
+				new Leadership.LeaderTerm(this.terms++, token.get(0), () -> Long.MAX_VALUE, false), new OneVmPlatform(),
 				new SchedulerSettings(6000, 3, 4000, 4000, 3000, Set.of()), RETENTION_MILLIS, (reason) -> {
 				}, () -> true, () -> 0);
 		if (this.store.value(WORKER_KEY) == null) {
--- a/control/src/test/java/io/lentilstream/control/term/WorkerRegistryTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/WorkerRegistryTests.java
@@ -51,7 +51,7 @@
 		});
 		this.loop.runFor(10);
 		WorkerRegistry created = new WorkerRegistry(this.loop, this.store, this.scheduler,
-				new Leadership.LeaderTerm(TERM, 2, () -> Long.MAX_VALUE), () -> this.superseded++);
+				new Leadership.LeaderTerm(TERM, 2, () -> Long.MAX_VALUE, false), () -> this.superseded++);
 		created.initialize(new StoredItem(JobKeys.WORKERS, null, 0, 0), RegisteredWorkers.NONE);
 		return created;
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -245,8 +245,17 @@
 	 * @param predecessorWorkers the VMs to which the predecessor may have sent commands
 	 */
 	public void start(Collection<WorkerListing> predecessorWorkers) {
+		start(predecessorWorkers, new Predecessor(this.state.now(), false));
+	}
+
+	/**
+	 * Starts to send commands, after the stored jobs were loaded.
+	 * @param predecessorWorkers the VMs to which the predecessor may have sent commands
+	 * @param predecessor what is known about its end
+	 */
+	public void start(Collection<WorkerListing> predecessorWorkers, Predecessor predecessor) {
 		long now = this.state.now();
-		this.takeover.startWaiting(predecessorWorkers, this.expiringLeases, now);
+		this.takeover.startWaiting(predecessorWorkers, this.expiringLeases, predecessor, now);
 		for (WorkerListing listing : predecessorWorkers) {
 			if (!this.state.workers.containsKey(listing.id())) {
 				Worker worker = new Worker(listing, now);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StopGuarantee.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StopGuarantee.java
@@ -82,7 +82,7 @@
 
 	private boolean lapsesInTime(Worker worker, long now) {
 		if (awaitsFirstReport(worker)) {
-			return this.takeover.remainingMillis(worker.id(), now) <= MAX_STOP_MILLIS;
+			return this.takeover.leaseRemainingMillis(worker.id(), now) <= MAX_STOP_MILLIS;
 		}
 		return worker.missedReports > 0 && worker.lease.clockKnown()
 				&& worker.lease.remainingMillis(now) <= MAX_STOP_MILLIS;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
@@ -45,6 +45,12 @@
 	 */
 	private final Map<WorkerId, Long> waitUntil = new HashMap<>();
 
+	/**
+	 * Until when leases of the predecessor may last on each VM, unless the store ended
+	 * its leadership early, in milliseconds.
+	 */
+	private final Map<WorkerId, Long> leasesUntil = new HashMap<>();
+
 	/** The VMs that have not reported and are still waited for. */
 	private final Set<WorkerId> unreported = new HashSet<>();
 
@@ -61,13 +67,18 @@
 	 * Starts to wait for the VMs to which the predecessor may have sent commands.
 	 * @param predecessorWorkers the VMs
 	 * @param leases the leases that the predecessor has left to expire
+	 * @param predecessor what is known about its end
 	 * @param now the current time in milliseconds
 	 */
-	void startWaiting(Collection<WorkerListing> predecessorWorkers, ExpiringLeases leases, long now) {
+	void startWaiting(Collection<WorkerListing> predecessorWorkers, ExpiringLeases leases, Predecessor predecessor,
+			long now) {
 		this.leasesLimited = leases.inherited();
 		for (WorkerListing listing : predecessorWorkers) {
 			long remaining = Math.max(MIN_WAIT_MILLIS, leases.remainingAtTakeover(listing.id()));
-			this.waitUntil.put(listing.id(), now + Math.min(maxWaitMillis(), remaining));
+			long until = now + Math.min(maxWaitMillis(), remaining);
+			this.waitUntil.put(listing.id(), until);
+			this.leasesUntil.put(listing.id(), predecessor.leaseExpired()
+					? Math.min(until, predecessor.endedBy() + maxLeaseAfterLeadershipMillis()) : until);
 			this.unreported.add(listing.id());
 		}
 	}
@@ -85,6 +96,7 @@
 		long firstMissedAt = now - unlistedAfter * (MISSED_HEARTBEATS - 1) / MISSED_HEARTBEATS;
 		long shortened = firstMissedAt + MAX_HEARTBEAT_DELAY_MILLIS + maxWaitMillis();
 		this.waitUntil.computeIfPresent(id, (key, until) -> Math.min(until, shortened));
+		this.leasesUntil.computeIfPresent(id, (key, until) -> Math.min(until, shortened));
 	}
 
 	/**
@@ -187,11 +199,26 @@
 		return Math.max(0, this.waitUntil.getOrDefault(id, now) - now);
 	}
 
-	// Adds 5% to the lease, since the clock of a VM may run slow.
+	/**
+	 * Returns how long leases that the predecessor granted may last if the store has not
+	 * ended its leadership early.
+	 * @param id the VM
+	 * @param now the current time in milliseconds
+	 * @return the time in milliseconds, at most {@link #remainingMillis}
+	 */
+	long leaseRemainingMillis(WorkerId id, long now) {
+		return Math.max(0, this.leasesUntil.getOrDefault(id, now) - now);
+	}
+
 	private long maxWaitMillis() {
+		return this.state.settings.predecessorLeadershipMillis() + maxLeaseAfterLeadershipMillis();
+	}
+
+	// Adds 5% to the lease, since the clock of a VM may run slow.
+	private long maxLeaseAfterLeadershipMillis() {
 		SchedulerSettings settings = this.state.settings;
 		long lease = this.leasesLimited ? settings.leaseAfterLeadershipMillis() : settings.maxLeaseMillis();
-		return settings.predecessorLeadershipMillis() + lease * 21 / 20;
+		return lease * 21 / 20;
 	}
 
 }
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/StopGuaranteeTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/StopGuaranteeTests.java
@@ -74,6 +74,30 @@
 		assertThat(late).isLessThanOrEqualTo(LOSSES / 10);
 	}
 
+	@Test
+	void noRunOutlastsAGuaranteeOnAVmThatOnlyTheLostLeaderReached() {
+		for (long lostAfter = 0; lostAfter < 1000; lostAfter += 50) {
+			VirtualWorld cut = new VirtualWorld(1);
+			cut.addWorker("w0");
+			cut.takeOver();
+			JobSubmission job = cut.submit("job-1", 0,
+					VirtualWorld.withTraits(VirtualWorld.step(4, 1000, 1000), LONG_RUNNING));
+			cut.clock.runFor(2000 + lostAfter);
+			cut.workers.get("w0").partitioned = true;
+			cut.loseLeader();
+			cut.cancel(job.id());
+			cut.clock.runFor(ELECTION_MILLIS);
+			cut.takeOver();
+			long sentAt = cut.clock.now() - ELECTION_MILLIS;
+			while (!cut.scheduler.stopGuaranteed(job.id())) {
+				cut.clock.runFor(10);
+			}
+			assertThat(cut.clock.now() - sentAt).isLessThanOrEqualTo(MAX_WAIT_MILLIS);
+			cut.clock.runFor(MAX_RUN_MILLIS);
+			assertThat(cut.workers.get("w0").running).isEmpty();
+		}
+	}
+
 	@Test
 	void aCancellationWaitsForAnUnansweredStart() {
 		this.world.addWorker("w1");
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -40,6 +40,9 @@
  */
 final class VirtualWorld {
 
+	/** The lease of a leader in the store, in milliseconds. */
+	private static final long LEADER_LEASE_MILLIS = 2000;
+
 	static final SchedulerSettings SETTINGS = new SchedulerSettings(6000, 3, 4000, 4000, 3000, Set.of());
 
 	final VirtualClock clock = new VirtualClock();
@@ -135,6 +138,9 @@
 	/** Until when a replaced scheduler still receives results, in milliseconds. */
 	long predecessorUntil;
 
+	/** When the last leader was lost, in milliseconds; negative if it was not. */
+	private long leaderLostAt = -1;
+
 	JobScheduler scheduler;
 
 	VirtualWorld(long seed) {
@@ -219,7 +225,10 @@
 		if (this.storedLeasesBy == predecessor && !this.earlierVersion) {
 			next.restoreExpiringLeases(this.storedLeases);
 		}
-		next.start(this.workers.values().stream().map(VirtualWorker::listing).toList());
+		boolean leaseExpired = this.leaderLostAt >= 0 && this.clock.now() - this.leaderLostAt >= LEADER_LEASE_MILLIS;
+		this.leaderLostAt = -1;
+		next.start(this.workers.values().stream().map(VirtualWorker::listing).toList(),
+				new Predecessor(this.clock.now(), leaseExpired));
 		this.workers.values()
 			.stream()
 			.filter((worker) -> worker.listed)
@@ -270,6 +279,7 @@
 	 * Loses the leader. A successor has to take over later.
 	 */
 	void loseLeader() {
+		this.leaderLostAt = this.clock.now();
 		this.term++;
 	}
 
