--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -54,10 +54,10 @@
 	/** Maximum number of jobs deleted in one commit; each has three items. */
 	private static final int JOBS_PER_CLEANUP = 10;
 
-	private static final PrefixWatcher.WatchOptions INTAKE_TIMING = new PrefixWatcher.WatchOptions(1000, 200,
+	private static final PrefixWatcher.WatchOptions INTAKE_OPTIONS = new PrefixWatcher.WatchOptions(1000, 200,
 			PrefixWatcher.CatchUp.CHANGES);
 
-	private static final PrefixWatcher.WatchOptions WORKER_LIST_TIMING = new PrefixWatcher.WatchOptions(1000, 250,
+	private static final PrefixWatcher.WatchOptions WORKER_LIST_OPTIONS = new PrefixWatcher.WatchOptions(1000, 250,
 			PrefixWatcher.CatchUp.CHANGES);
 
 	private final EventLoop loop;
@@ -146,10 +146,10 @@
 				this::tickSoon);
 		this.registry = new WorkerRegistry(this.loop, this.store, this.scheduler, leaderTerm, onSuperseded);
 		this.knowledge = new CarriedKnowledgeStore(dependencies, this.fencingToken, this.scheduler.carriedKnowledge());
-		this.intake = new PrefixWatcher(this.loop, this.store, this.log, JobKeys.INTAKE, INTAKE_TIMING,
+		this.intake = new PrefixWatcher(this.loop, this.store, this.log, JobKeys.INTAKE, INTAKE_OPTIONS,
 				new IntakeListener());
 		this.workerList = new PrefixWatcher(this.loop, this.store, this.log, platform.workerListPrefix(),
-				WORKER_LIST_TIMING,
+				WORKER_LIST_OPTIONS,
 				new WorkerListListener(dependencies, platform, this.registry,
 						new WorkerListListener.StoreStability(storeStableSince, settings.unlistedAfterMillis()),
 						this::tickSoon));
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
@@ -94,7 +94,7 @@
 		}
 		long now = this.state.now();
 		worker.unansweredReportRequests--;
-		if (sent < worker.lastReportRequestedAt) {
+		if (sent < worker.answeredReportRequestAt) {
 			// A repeated request has been answered first, so this result is outdated.
 			return;
 		}
@@ -107,7 +107,7 @@
 				this.crashDetector.regained(worker);
 			}
 			worker.missedReports = 0;
-			worker.lastReportRequestedAt = sent;
+			worker.answeredReportRequestAt = sent;
 			worker.lastReportAt = now;
 			worker.nextReportRequestAt = now;
 			this.reportHandler.handle(worker, reported.report(), sent, now);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -84,7 +84,7 @@
 	long lastReportRequestAt;
 
 	/** When the last report that has arrived was requested, in milliseconds. */
-	long lastReportRequestedAt = Long.MIN_VALUE;
+	long answeredReportRequestAt = Long.MIN_VALUE;
 
 	long nextReportRequestAt;
 
@@ -171,7 +171,7 @@
 		this.acknowledged = 0;
 		this.unstoredEnds.clear();
 		this.unansweredReportRequests = 0;
-		this.lastReportRequestedAt = Long.MIN_VALUE;
+		this.answeredReportRequestAt = Long.MIN_VALUE;
 		this.nextReportRequestAt = now;
 		this.hasUnknownRuns = false;
 		this.missedReports = 0;
