Count what bodies cost while they are received, and shed the largest

What callers saw: a crowd of 60 clients that sends bodies of legal size, most stopping just short of their end, ended a process within seconds, whether the bodies came whole, in pieces, in chunks of 64 KiB or of 4 bytes. With the limits of the deploy file and 1,500 clients the process lived, but ordinary callers whose head and body arrive apart got no answer for 30 s.

Cause: the limit of 32 MiB counted the bytes that were sent. The aggregator kept the buffers of reads, up to 64 KiB for a few bytes, and an object for each chunk; requests that had arrived and waited or were handled counted nothing. At the limit, whoever sent next was disconnected, so a crowd that held the limit shut everybody else out.

Change: ClientMemory bounds what all clients on all HTTP listeners hold, by its cost: copied bodies by the capacity of their segments, buffers of the decoder, requests that wait, and an allowance for those being handled. Beyond 24 MiB ([clients] max-memory-kb) the client that holds the most is refused with 503 and Retry-After, which is true, as its request has not run; small requests of ordinary callers are shed last. Large requests leave half of the memory to others, one is always handled. A body that is too large ends its connection instead of being read on.

bodiesThatArriveTogetherTakeBoundedMemory took connections for open as soon as their bytes were sent. The newest large body now displaces the oldest instead of being refused, so the test counts the open ones at the end; the bounds (20 to 40) and the answer to a late end are as before.

--- a/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
+++ b/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
@@ -3,10 +3,10 @@
 import java.util.Map;
 import java.util.Optional;
 
-import io.netty.buffer.ByteBufUtil;
-import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.TooLongHttpContentException;
 
 /**
  * A request that has been received and not answered.
@@ -16,50 +16,75 @@
 	/** The memory that a request takes beside its head and body, in bytes. */
 	private static final int OBJECT_BYTES = 512;
 
-	private static final int BAD_REQUEST = 400;
+	/** The memory that a field of the head takes beside its name and value, in bytes. */
+	private static final int FIELD_BYTES = 160;
 
-	private static final int TOO_LARGE = 413;
-
-	private final HttpHandler.Request content;
+	/**
+	 * The memory that handling a request takes at most for each byte of its body: the
+	 * decoded job, its encoded form, and the commit that stores it.
+	 */
+	private static final int HANDLING_FACTOR = 8;
 
 	private final boolean keepAlive;
 
-	private final int refusalStatus;
+	private final HttpHandler.Response refusal;
 
 	private final long receivedAtNanos;
 
-	private final int size;
+	private HttpHandler.Request content;
 
 	private boolean abandoned;
 
-	ReceivedRequest(FullHttpRequest request, long receivedAtNanos) {
-		this.content = new HttpHandler.Request(request.method(), request.uri(), request.headers().copy(),
-				ByteBufUtil.getBytes(request.content()));
-		this.refusalStatus = refusalStatus(request);
-		this.keepAlive = HttpUtil.isKeepAlive(request) && this.refusalStatus != BAD_REQUEST;
+	private ReceivedRequest(HttpHandler.Request content, boolean keepAlive, HttpHandler.Response refusal,
+			long receivedAtNanos) {
+		this.content = content;
+		this.keepAlive = keepAlive;
+		this.refusal = refusal;
 		this.receivedAtNanos = receivedAtNanos;
-		this.size = OBJECT_BYTES + headLength() + this.content.body().length;
 	}
 
-	private int headLength() {
-		int length = this.content.uri().length();
-		for (Map.Entry<String, String> header : this.content.headers()) {
-			length += header.getKey().length() + header.getValue().length();
-		}
-		return length;
+	static ReceivedRequest complete(HttpRequest head, byte[] body) {
+		return new ReceivedRequest(new HttpHandler.Request(head.method(), head.uri(), head.headers(), body),
+				HttpUtil.isKeepAlive(head), null, System.nanoTime());
 	}
 
-	private static int refusalStatus(FullHttpRequest request) {
-		if (!request.decoderResult().isFailure()) {
-			return 0;
-		}
-		return (request.decoderResult().cause() instanceof TooLongHttpContentException) ? TOO_LARGE : BAD_REQUEST;
+	/**
+	 * Creates a request that is answered without being handled, and is the last of its
+	 * connection.
+	 * @param head the head
+	 * @param response the response
+	 * @return the request
+	 */
+	static ReceivedRequest refused(HttpRequest head, HttpHandler.Response response) {
+		return new ReceivedRequest(withoutContent(head.method(), head.uri()), false, response, System.nanoTime());
+	}
+
+	private static HttpHandler.Request withoutContent(HttpMethod method, String uri) {
+		return new HttpHandler.Request(method, uri, EmptyHttpHeaders.INSTANCE, new byte[0]);
+	}
+
+	/**
+	 * Returns this request as one that is not handled.
+	 * @param response the response to it
+	 * @param last whether it is the last of its connection
+	 * @return the refused request
+	 */
+	ReceivedRequest refused(HttpHandler.Response response, boolean last) {
+		return new ReceivedRequest(withoutContent(this.content.method(), this.content.uri()), this.keepAlive && !last,
+				(this.refusal != null) ? this.refusal : response, this.receivedAtNanos);
 	}
 
 	HttpHandler.Request content() {
 		return this.content;
 	}
 
+	/**
+	 * Forgets headers and body, which the handler has decoded.
+	 */
+	void releaseContent() {
+		this.content = withoutContent(this.content.method(), this.content.uri());
+	}
+
 	boolean keepAlive() {
 		return this.keepAlive;
 	}
@@ -69,7 +94,7 @@
 	 * @return the response; empty if the request is valid
 	 */
 	Optional<HttpHandler.Response> refusal() {
-		return (this.refusalStatus == 0) ? Optional.empty() : Optional.of(HttpHandler.Response.of(this.refusalStatus));
+		return Optional.ofNullable(this.refusal);
 	}
 
 	/**
@@ -85,7 +110,19 @@
 	 * @return the size in bytes
 	 */
 	int size() {
-		return this.size;
+		int length = OBJECT_BYTES + this.content.uri().length() + this.content.body().length;
+		for (Map.Entry<String, String> header : this.content.headers()) {
+			length += FIELD_BYTES + header.getKey().length() + header.getValue().length();
+		}
+		return length;
+	}
+
+	/**
+	 * Returns about how much memory is needed to handle the request.
+	 * @return the size in bytes
+	 */
+	long handlingBytes() {
+		return size() + (long) HANDLING_FACTOR * this.content.body().length;
 	}
 
 	String description() {
--- /dev/null
+++ b/control/src/main/java/io/lentilstream/control/limits/package-info.java
@@ -0,0 +1,4 @@
+/**
+ * Limits on what all clients together may make a process hold.
+ */
+package io.lentilstream.control.limits;
--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -199,11 +199,17 @@
 		this.server.listen(this.group, address);
 		byte[] unfinished = ("POST / HTTP/1.1\r\nContent-Length: 1000001\r\n\r\n" + "x".repeat(1_000_000))
 			.getBytes(StandardCharsets.US_ASCII);
-		List<Socket> open = new ArrayList<>();
+		List<Socket> sockets = new ArrayList<>();
 		for (int i = 0; i < 60; i++) {
 			Socket socket = new Socket();
 			socket.connect(address, TIMEOUT_MILLIS);
-			if (sent(socket, unfinished)) {
+			socket.getOutputStream().write(unfinished);
+			sockets.add(socket);
+		}
+		Thread.sleep(5 * PAUSE_MILLIS);
+		List<Socket> open = new ArrayList<>();
+		for (Socket socket : sockets) {
+			if (open(socket)) {
 				open.add(socket);
 			}
 		}
@@ -211,16 +217,16 @@
 		open.get(0).setSoTimeout(TIMEOUT_MILLIS);
 		open.get(0).getOutputStream().write('x');
 		assertThat(read(new BufferedInputStream(open.get(0).getInputStream()), 1)).contains("HTTP/1.1 200");
-		for (Socket socket : open) {
+		for (Socket socket : sockets) {
 			socket.close();
 		}
 	}
 
-	private static boolean sent(Socket socket, byte[] bytes) throws IOException {
-		socket.setSoTimeout(100);
+	private static boolean open(Socket socket) throws IOException {
+		socket.setSoTimeout(10);
 		try {
-			socket.getOutputStream().write(bytes);
-			return socket.getInputStream().read() >= 0;
+			socket.getInputStream().read();
+			return false;
 		}
 		catch (SocketTimeoutException ex) {
 			return true;
@@ -323,6 +329,29 @@
 		}
 	}
 
+	@Test
+	void aChunkedBodyWithATrailerIsHandled() throws IOException, InterruptedException {
+		String responses = send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(1000)
+				+ "0\r\na: b\r\n\r\n" + get("/second"), 2, this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 200").contains("/second");
+		assertThat(this.handled).containsExactly("/", "/second");
+	}
+
+	@Test
+	void aChunkedBodyThatGrowsBeyondTheLimitIsRefused() throws IOException, InterruptedException {
+		String chunk = "2710\r\n" + "x".repeat(10_000) + "\r\n";
+		String responses = send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk.repeat(21), 1,
+				this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 413").contains("connection: close");
+	}
+
+	@Test
+	void aLengthThatIsNotANumberIsRefused() throws IOException, InterruptedException {
+		String responses = send("POST / HTTP/1.1\r\nContent-Length: 99999999999999999999\r\n\r\n", 1,
+				this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 400");
+	}
+
 	// Guards against memory that grows with the heads of requests that wait.
 	@Test
 	void headsOfWaitingRequestsCountAsMemory() throws IOException, InterruptedException {
