--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -329,6 +329,24 @@
 		}
 	}
 
+	// Guards against memory that grows with the fields of heads, each of which takes far
+	// more memory than its bytes.
+	@Test
+	void aHeadOfManyFieldsIsRefused() throws IOException, InterruptedException {
+		String responses = send(get("/first") + "GET / HTTP/1.1\r\n" + "a:b\r\n".repeat(200) + "\r\n", 2,
+				this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 200").contains("HTTP/1.1 431").contains("connection: close");
+	}
+
+	@Test
+	void aTrailerOfManyFieldsIsRefused() throws IOException, InterruptedException {
+		String responses = send(
+				"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n" + "a:b\r\n".repeat(200) + "\r\n", 1,
+				this::respondLater);
+		assertThat(responses).startsWith("HTTP/1.1 431");
+		assertThat(this.handled).isEmpty();
+	}
+
 	@Test
 	void aChunkedBodyWithATrailerIsHandled() throws IOException, InterruptedException {
 		String responses = send("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n" + "1\r\nx\r\n".repeat(1000)
