Let requests wait while their client does not read its responses

What callers saw: 60 clients that send 200,000 requests each and read no response left a process that lived and did not answer: ordinary callers, and the platform's requests for metrics, timed out.

Cause: a request that is answered at once was answered whether or not earlier responses had left, so the queue of responses grew with what clients sent.

Change: the next request of a connection is handled once the connection is writable, and unsent responses count as memory of the client; a client that holds the most by not reading is disconnected.

--- a/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
+++ b/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
@@ -11,6 +11,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.AbstractNioChannel;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
@@ -135,13 +136,20 @@
 		dispatch();
 	}
 
+	@Override
+	public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
+		dispatch();
+	}
+
 	// A loop, since requests that are answered at once would otherwise nest.
 	private void dispatch() {
 		if (this.dispatching) {
 			return;
 		}
 		this.dispatching = true;
-		while (this.current == null && !this.waiting.isEmpty() && !this.closing) {
+		// A client that does not read its responses gets no more of them.
+		while (this.current == null && !this.waiting.isEmpty() && !this.closing
+				&& this.context.channel().isWritable()) {
 			this.current = this.waiting.poll();
 			this.waitingBytes -= this.current.size();
 			handle(this.current);
@@ -273,13 +281,17 @@
 	}
 
 	private void updateShare() {
-		this.share.update(CONNECTION_BYTES, this.decoder.heldBytes() + this.collector.heldBytes() + this.waitingBytes);
+		ChannelOutboundBuffer outbound = this.context.channel().unsafe().outboundBuffer();
+		long unsent = (outbound != null) ? outbound.totalPendingWriteBytes() : 0;
+		this.share.update(CONNECTION_BYTES,
+				this.decoder.heldBytes() + this.collector.heldBytes() + this.waitingBytes + unsent);
 	}
 
 	// Requests that wait have not run and never will, as the refusal says.
 	@Override
 	public void shed() {
-		if (this.closing || this.current == null && this.waiting.isEmpty() && !this.collector.receiving()) {
+		boolean unread = !this.context.channel().isWritable();
+		if (unread || this.closing || this.current == null && this.waiting.isEmpty() && !this.collector.receiving()) {
 			this.context.close();
 			this.share.update(CONNECTION_BYTES, 0);
 			return;
--- a/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
+++ b/control/src/test/java/io/lentilstream/control/http/HttpServerTests.java
@@ -370,6 +370,27 @@
 		assertThat(responses).startsWith("HTTP/1.1 400");
 	}
 
+	// Guards against memory that grows with responses that nobody reads.
+	@Test
+	void requestsOfAClientThatDoesNotReadItsResponsesWait() throws IOException, InterruptedException {
+		InetSocketAddress address = freeAddress();
+		AtomicInteger answered = new AtomicInteger();
+		this.server = new HttpServer((request, responder) -> {
+			answered.incrementAndGet();
+			responder.accept(new HttpHandler.Response(OK, new byte[100_000], 0));
+		}, MAX_BODY_BYTES);
+		this.server.listen(this.group, address);
+		try (Socket socket = new Socket()) {
+			socket.setReceiveBufferSize(10_000);
+			socket.connect(address, TIMEOUT_MILLIS);
+			socket.getOutputStream().write(get("/").repeat(1000).getBytes(StandardCharsets.US_ASCII));
+			Thread.sleep(5 * PAUSE_MILLIS);
+			assertThat(answered).hasValueLessThan(200);
+			socket.setSoTimeout(TIMEOUT_MILLIS);
+			assertThat(socket.getInputStream().readNBytes(100_000_000)).hasSize(100_000_000);
+		}
+	}
+
 	// Guards against memory that grows with the heads of requests that wait.
 	@Test
 	void headsOfWaitingRequestsCountAsMemory() throws IOException, InterruptedException {
