Close the connection that is silent for longest beyond a number of connections

What callers saw: clients that open connections and keep them take all file descriptors of a process. No other caller can connect then, nor can the process open connections to VMs and the store.

Cause: nothing bounded the connections of clients but the descriptors.

Beyond it the connection that has been silent for longest is closed, unless it waits for a response. New callers are always accepted.

--- a/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
+++ b/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
@@ -27,13 +27,15 @@
 import io.lentilstream.control.FatalErrors;
 import io.lentilstream.control.limits.ClientLimits;
 import io.lentilstream.control.limits.ClientMemory;
+import io.lentilstream.control.limits.ConnectionLimit;
 
 /**
  * A connection from a client. Its requests are handled one at a time, and further ones
  * that have been received wait, since responses must not overtake each other. All methods
  * must be called on the event loop.
  */
-final class ClientConnection extends SimpleChannelInboundHandler<ReceivedRequest> implements ClientMemory.Client {
+final class ClientConnection extends SimpleChannelInboundHandler<ReceivedRequest>
+		implements ClientMemory.Client, ConnectionLimit.Connection {
 
 	/**
 	 * The size of the requests that wait behind another from which on a connection is not
@@ -99,11 +101,13 @@
 		this.owner.opened(this);
 		this.share = this.limits.memory().open(this);
 		this.share.update(CONNECTION_BYTES, 0);
+		this.limits.connections().opened(this);
 	}
 
 	@Override
 	public void channelInactive(ChannelHandlerContext handlerContext) {
 		this.owner.closed(this);
+		this.limits.connections().closed(this);
 		this.waiting.clear();
 		this.share.close();
 	}
@@ -133,6 +137,7 @@
 	// given before all that has arrived is read.
 	@Override
 	public void channelReadComplete(ChannelHandlerContext handlerContext) {
+		this.limits.connections().used(this);
 		dispatch();
 	}
 
@@ -311,6 +316,15 @@
 		dispatch();
 	}
 
+	@Override
+	public boolean closeUnlessHandling() {
+		if (this.current != null && !this.closing) {
+			return false;
+		}
+		this.context.close();
+		return true;
+	}
+
 	@Override
 	public void exceptionCaught(ChannelHandlerContext handlerContext, Throwable cause) {
 		FatalErrors.haltIfFatal(cause);
