Count connections and frames of the listener of peers among those of clients

What callers saw: connections to the port for peers took all descriptors of a process, as those to the port for clients did.

Anybody can connect to it.

Change: PeerConnectionLimiter gives each accepted connection of a peer a share of the same memory and a place among the same connections.

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -13,6 +13,7 @@
 import io.lentilstream.control.api.JobService;
 import io.lentilstream.control.leadership.LeaderRecord;
 import io.lentilstream.control.leadership.Leadership;
+import io.lentilstream.control.limits.ClientLimits;
 import io.lentilstream.control.peers.FollowerRegistry;
 import io.lentilstream.control.peers.LeaderConnection;
 import io.lentilstream.control.peers.PeerServer;
@@ -105,10 +106,11 @@
 
 	/**
 	 * Starts watching the configuration, looking for the leader and listening for peers.
+	 * @param limits the limits that all listeners of the process share
 	 * @throws InterruptedException if interrupted while binding the address
 	 */
-	public void start() throws InterruptedException {
-		this.peerServer.listen(this.group, this.settings.peerAddress());
+	public void start(ClientLimits limits) throws InterruptedException {
+		this.peerServer.listen(this.group, this.settings.peerAddress(), limits);
 		this.group.execute(() -> FatalErrors.runChecked(this.configurationWatcher::start));
 	}
 
--- a/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
+++ b/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
@@ -83,7 +83,7 @@
 			.channel(NioSocketChannel.class)
 			.option(ChannelOption.TCP_NODELAY, true)
 			.option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-			.handler(new PeerChannelInitializer(this::received, (closed) -> closed(address)))
+			.handler(new PeerChannelInitializer(this::received, (closed) -> closed(address), Optional.empty()))
 			.connect(address)
 			.addListener((ChannelFuture future) -> FatalErrors.runChecked(() -> connectCompleted(address, future)));
 	}
--- a/control/src/main/java/io/lentilstream/control/peers/PeerChannelInitializer.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerChannelInitializer.java
@@ -1,5 +1,6 @@
 package io.lentilstream.control.peers;
 
+import java.util.Optional;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 
@@ -11,27 +12,34 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
-import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import io.netty.handler.codec.LengthFieldPrepender;
 
 import io.lentilstream.control.FatalErrors;
+import io.lentilstream.control.limits.ClientLimits;
 
 /**
  * Sets up the pipeline of channels that carry frames.
  */
 final class PeerChannelInitializer extends ChannelInitializer<SocketChannel> {
 
-	private static final int MAX_FRAME_BYTES = 1 << 20;
-
-	private static final int LENGTH_BYTES = 4;
-
 	private final BiConsumer<Channel, PeerFrame> onFrame;
 
 	private final Consumer<Channel> onClosed;
 
-	PeerChannelInitializer(BiConsumer<Channel, PeerFrame> onFrame, Consumer<Channel> onClosed) {
+	private final Optional<ClientLimits> limits;
+
+	/**
+	 * Creates an initializer.
+	 * @param onFrame takes the frames that are received
+	 * @param onClosed notified when a channel is closed
+	 * @param limits the limits for channels that others open; empty for those that this
+	 * process opens
+	 */
+	PeerChannelInitializer(BiConsumer<Channel, PeerFrame> onFrame, Consumer<Channel> onClosed,
+			Optional<ClientLimits> limits) {
 		this.onFrame = onFrame;
 		this.onClosed = onClosed;
+		this.limits = limits;
 	}
 
 	static void send(Channel channel, PeerFrame frame) {
@@ -46,9 +54,10 @@
 
 	@Override
 	protected void initChannel(SocketChannel channel) {
-		channel.pipeline()
-			.addLast(new LengthFieldBasedFrameDecoder(MAX_FRAME_BYTES, 0, LENGTH_BYTES, 0, LENGTH_BYTES),
-					new LengthFieldPrepender(LENGTH_BYTES), new FrameHandler());
+		PeerFrameDecoder decoder = new PeerFrameDecoder();
+		channel.pipeline().addLast(decoder);
+		this.limits.ifPresent((shared) -> channel.pipeline().addLast(new PeerConnectionLimiter(shared, decoder)));
+		channel.pipeline().addLast(new LengthFieldPrepender(PeerFrameDecoder.LENGTH_BYTES), new FrameHandler());
 	}
 
 	/**
--- a/control/src/main/java/io/lentilstream/control/peers/PeerServer.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerServer.java
@@ -1,6 +1,7 @@
 package io.lentilstream.control.peers;
 
 import java.net.InetSocketAddress;
+import java.util.Optional;
 import java.util.function.UnaryOperator;
 
 import io.netty.bootstrap.ServerBootstrap;
@@ -10,6 +11,7 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 
 import io.lentilstream.control.AcceptFailureHandler;
+import io.lentilstream.control.limits.ClientLimits;
 
 /**
  * Accepts connections from peers and replies to their frames.
@@ -36,15 +38,17 @@
 	 * Starts listening.
 	 * @param group the group of the event loop
 	 * @param address the address to listen on
+	 * @param limits the limits that all listeners of the process share
 	 * @throws InterruptedException if interrupted while binding the address
 	 */
-	public void listen(EventLoopGroup group, InetSocketAddress address) throws InterruptedException {
+	public void listen(EventLoopGroup group, InetSocketAddress address, ClientLimits limits)
+			throws InterruptedException {
 		this.serverChannel = new ServerBootstrap().group(group)
 			.channel(NioServerSocketChannel.class)
 			.handler(new AcceptFailureHandler())
 			.option(ChannelOption.SO_REUSEADDR, true)
 			.childOption(ChannelOption.TCP_NODELAY, true)
-			.childHandler(new PeerChannelInitializer(this::received, this.followers::closed))
+			.childHandler(new PeerChannelInitializer(this::received, this.followers::closed, Optional.of(limits)))
 			.bind(address)
 			.sync()
 			.channel();
--- a/control/src/test/java/io/lentilstream/control/ControlNodeTests.java
+++ b/control/src/test/java/io/lentilstream/control/ControlNodeTests.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
+import io.lentilstream.control.limits.ClientLimits;
 import io.lentilstream.control.store.MemoryStore;
 import io.lentilstream.control.store.StoredItem;
 import io.lentilstream.control.term.Term;
@@ -107,7 +108,7 @@
 						new SchedulerSettings(6000, 3, 4000, 4000, 3000, Set.of())),
 				new NoVms(),
 				new ControlNode.ConfigurationSource("op/", (item) -> Optional.empty(), (item) -> Optional.empty()));
-		node.start();
+		node.start(ClientLimits.withDefaults());
 		return node;
 	}
 
--- a/control/src/test/java/io/lentilstream/control/peers/LeaderConnectionTests.java
+++ b/control/src/test/java/io/lentilstream/control/peers/LeaderConnectionTests.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 
 import io.lentilstream.control.NettyEventLoop;
+import io.lentilstream.control.limits.ClientLimits;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -92,7 +93,7 @@
 			}
 			this.lastPing.set(frame.number());
 			return frame.reply(PeerFrame.Kind.PONG, pongNumber);
-		}, this.followers).listen(this.group, address);
+		}, this.followers).listen(this.group, address, ClientLimits.withDefaults());
 		this.group.submit(() -> this.connection.connect(address)).get();
 	}
 
