Refuse a job that is too large to be stored before the store does

What callers saw: a job whose stored form exceeds the largest value of the store was answered 503, as if it could be stored later, and the process then refused the jobs of all other callers, until the store had replied to another call (up to a second). A client that repeats such a job keeps it so.

Cause: any refusal of a commit counts as a store that cannot be reached.

--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -135,6 +135,10 @@
 				callback.accept(result);
 				return;
 			}
+			if (result == SubmissionWriter.Outcome.TOO_LARGE) {
+				callback.accept(result);
+				return;
+			}
 			if (result == SubmissionWriter.Outcome.CANCELLED) {
 				this.unresolved.remove(submission.id());
 				callback.accept(result);
--- a/control/src/main/java/io/lentilstream/control/api/SubmissionWriter.java
+++ b/control/src/main/java/io/lentilstream/control/api/SubmissionWriter.java
@@ -26,6 +26,9 @@
 	/** Maximum number of submissions in a commit; each takes a condition and a write. */
 	private static final int MAX_BATCH = Commit.MAX_ENTRIES / 2;
 
+	/** Maximum size of a submission, in bytes; the store accepts no larger values. */
+	private static final int MAX_SUBMISSION_BYTES = 1 << 20;
+
 	private static final int MAX_COMMITS_IN_FLIGHT = 2;
 
 	/** How often a commit is retried if there was no reply. */
@@ -62,8 +65,13 @@
 	 * @param callback receives the outcome, once
 	 */
 	public void store(JobSubmission submission, Consumer<Outcome> callback) {
+		byte[] encoded = SubmissionCodec.encode(submission);
+		if (encoded.length > MAX_SUBMISSION_BYTES) {
+			callback.accept(Outcome.TOO_LARGE);
+			return;
+		}
 		PendingSubmission entry = this.queue.computeIfAbsent(submission.id(),
-				(id) -> new PendingSubmission(submission));
+				(id) -> new PendingSubmission(id, encoded));
 		entry.callbacks.add(callback);
 		commitNext();
 		refuseQueuedIfUnreachable();
@@ -89,7 +97,7 @@
 				entries.remove();
 			}
 			this.inFlight++;
-			batch.forEach((entry) -> this.jobCommitsInFlight.merge(entry.submission.id(), 1, Integer::sum));
+			batch.forEach((entry) -> this.jobCommitsInFlight.merge(entry.job, 1, Integer::sum));
 			commit(batch, 0);
 		}
 	}
@@ -97,8 +105,8 @@
 	private void commit(List<PendingSubmission> batch, int retries) {
 		Commit commit = new Commit();
 		for (PendingSubmission entry : batch) {
-			String key = JobKeys.submission(entry.submission.id());
-			commit.require(key, 0).write(key, SubmissionCodec.encode(entry.submission), 0);
+			String key = JobKeys.submission(entry.job);
+			commit.require(key, 0).write(key, entry.encoded, 0);
 		}
 		this.store.commit(commit, (reply) -> committed(batch, retries, reply));
 	}
@@ -136,7 +144,7 @@
 		items.stream().filter(StoredItem::exists).forEach((item) -> found.put(item.key(), item));
 		List<PendingSubmission> notStored = new ArrayList<>();
 		for (PendingSubmission entry : batch) {
-			StoredItem item = found.get(JobKeys.submission(entry.submission.id()));
+			StoredItem item = found.get(JobKeys.submission(entry.job));
 			if (item == null) {
 				notStored.add(entry);
 				continue;
@@ -153,12 +161,12 @@
 	}
 
 	private void commitReturned(PendingSubmission entry) {
-		this.jobCommitsInFlight.computeIfPresent(entry.submission.id(), (id, count) -> (count > 1) ? count - 1 : null);
+		this.jobCommitsInFlight.computeIfPresent(entry.job, (id, count) -> (count > 1) ? count - 1 : null);
 	}
 
 	// A job is not reported as refused while an earlier submission may still be stored.
 	private void finish(PendingSubmission entry, Outcome outcome) {
-		boolean mayBeStored = outcome == Outcome.REFUSED && this.jobCommitsInFlight.containsKey(entry.submission.id());
+		boolean mayBeStored = outcome == Outcome.REFUSED && this.jobCommitsInFlight.containsKey(entry.job);
 		entry.finish(mayBeStored ? Outcome.UNKNOWN : outcome);
 	}
 
@@ -180,7 +188,10 @@
 		 * The job was cancelled before it was stored. No submission of it is stored, nor
 		 * will be.
 		 */
-		CANCELLED
+		CANCELLED,
+
+		/** The submission is larger than the store accepts. It is not stored. */
+		TOO_LARGE
 
 	}
 
@@ -189,12 +200,15 @@
 	 */
 	private static final class PendingSubmission {
 
-		private final JobSubmission submission;
+		private final JobId job;
+
+		private final byte[] encoded;
 
 		private final List<Consumer<Outcome>> callbacks = new ArrayList<>(1);
 
-		PendingSubmission(JobSubmission submission) {
-			this.submission = submission;
+		PendingSubmission(JobId job, byte[] encoded) {
+			this.job = job;
+			this.encoded = encoded;
 		}
 
 		void finish(Outcome outcome) {
--- a/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
@@ -75,6 +75,19 @@
 		assertThat(this.store.commits).isEqualTo(commits);
 	}
 
+	// Guards against a job that the store refuses again and again, after which all others
+	// were refused for a while.
+	@Test
+	void aJobThatIsTooLargeDoesNotKeepOthersFromBeingStored() {
+		this.store.mode = MemoryStore.Mode.REFUSES;
+		this.service.submit(SubmissionWriterTests.job("job-1", 1_100_000), this.outcomes::add);
+		this.loop.runFor(100);
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.service.submit(SubmissionWriterTests.job("job-2"), this.outcomes::add);
+		this.loop.runFor(100);
+		assertThat(this.outcomes).containsExactly(SubmissionWriter.Outcome.TOO_LARGE, SubmissionWriter.Outcome.STORED);
+	}
+
 	@Test
 	void aStateIsReadFromTheStoreWhileThereIsNoLeader() {
 		this.service.submit(SubmissionWriterTests.job("job-1"), this.outcomes::add);
--- a/control/src/test/java/io/lentilstream/control/api/SubmissionWriterTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/SubmissionWriterTests.java
@@ -76,6 +76,16 @@
 		assertThat(this.store.commits).isLessThanOrEqualTo(9);
 	}
 
+	// Guards against a refusal of the store that also meets the other submissions of the
+	// commit.
+	@Test
+	void aSubmissionThatIsTooLargeForTheStoreIsNotSentToIt() {
+		this.writer.store(job("job-1", 1_100_000), this.outcomes::add);
+		this.loop.runFor(200);
+		assertThat(this.outcomes).containsExactly(SubmissionWriter.Outcome.TOO_LARGE);
+		assertThat(this.store.commits).isZero();
+	}
+
 	@Test
 	void submissionsQueuedBehindCommitsWithoutReplyAreRefusedAtOnce() {
 		this.store.mode = MemoryStore.Mode.SILENT;
@@ -112,10 +122,14 @@
 	}
 
 	static JobSubmission job(String id) {
+		return job(id, 0);
+	}
+
+	static JobSubmission job(String id, int payloadBytes) {
 		StepSpec step = new StepSpec(1, new Resources(1000, 100, 0), 500, List.of(), StepSpec.Traits.NONE,
 				StepSpec.Placement.ANYWHERE, "", 0, -1);
 		return new JobSubmission(new JobId(id), "queue", new QueuePolicy(new ServiceName("press"), 0, 2, 2, 500),
-				"payload", List.of(step), JobSubmission.Schedule.ONCE, 5);
+				"payload" + "x".repeat(payloadBytes), List.of(step), JobSubmission.Schedule.ONCE, 5);
 	}
 
 }
