Let connections that send very small chunks take turns

What callers saw: 1,500 clients that send bodies in chunks of 4 bytes left a process that lived and did not answer for 30 s. Its event loop came round after 0.8 s, so its lease was not renewed and it lost the leadership again and again.

Cause: each round of the loop decodes up to 32 KiB of each connection, which are thousands of chunks; the memory that they take was bounded, the processor time was not.

--- a/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
+++ b/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
@@ -86,6 +86,9 @@
 
 	private int unsentResponses;
 
+	/** Whether the connection is not read until others had their turn. */
+	private boolean paused;
+
 	ClientConnection(HttpHandler handler, Owner owner, RequestDecoder decoder, RequestCollector collector,
 			ClientLimits limits) {
 		this.handler = handler;
@@ -138,9 +141,28 @@
 	@Override
 	public void channelReadComplete(ChannelHandlerContext handlerContext) {
 		this.limits.connections().used(this);
+		if (this.collector.pauseDue()) {
+			pause();
+		}
+		this.collector.resetParts();
 		dispatch();
 	}
 
+	private void pause() {
+		if (!this.paused) {
+			this.paused = true;
+			this.limits.decoding().pause(this.context.channel().eventLoop(), () -> {
+				this.paused = false;
+				updateAutoRead();
+			});
+		}
+	}
+
+	private void updateAutoRead() {
+		boolean wanted = this.closing || this.waitingBytes < MAX_WAITING_BYTES;
+		this.context.channel().config().setAutoRead(wanted && !this.paused);
+	}
+
 	@Override
 	public void channelWritabilityChanged(ChannelHandlerContext handlerContext) {
 		dispatch();
@@ -163,7 +185,7 @@
 			clearWaiting();
 		}
 		this.dispatching = false;
-		this.context.channel().config().setAutoRead(this.closing || this.waitingBytes < MAX_WAITING_BYTES);
+		updateAutoRead();
 		updateShare();
 	}
 
@@ -245,7 +267,7 @@
 			return;
 		}
 		channel.shutdownOutput();
-		channel.config().setAutoRead(true);
+		updateAutoRead();
 		channel.eventLoop().schedule(() -> channel.close(), MAX_LINGER_MILLIS, TimeUnit.MILLISECONDS);
 	}
 
--- a/control/src/main/java/io/lentilstream/control/http/HttpServer.java
+++ b/control/src/main/java/io/lentilstream/control/http/HttpServer.java
@@ -91,7 +91,8 @@
 				@Override
 				protected void initChannel(SocketChannel channel) {
 					RequestDecoder decoder = new RequestDecoder();
-					RequestCollector collector = new RequestCollector(HttpServer.this.maxBodyBytes);
+					RequestCollector collector = new RequestCollector(HttpServer.this.maxBodyBytes,
+							HttpServer.this.limits.decoding());
 					channel.pipeline()
 						.addLast(decoder, new HttpResponseEncoder(), collector,
 								new ClientConnection(HttpServer.this.handler, new Connections(), decoder, collector,
--- a/control/src/main/java/io/lentilstream/control/http/RequestCollector.java
+++ b/control/src/main/java/io/lentilstream/control/http/RequestCollector.java
@@ -15,6 +15,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.util.ReferenceCountUtil;
 
+import io.lentilstream.control.limits.DecodingRateLimit;
+
 /**
  * Collects the parts of requests. A request that is refused is passed on like the others,
  * since its response must not overtake those to earlier ones, and is the last of its
@@ -37,15 +39,27 @@
 	/** The head of the request that is being received; {@code null} if there is none. */
 	private HttpRequest head;
 
+	private final DecodingRateLimit rate;
+
 	/** Whether the rest of what the client sends is ignored. */
 	private boolean refused;
 
-	RequestCollector(int maxBodyBytes) {
+	/** The parts that have been decoded since the last pause. */
+	private int parts;
+
+	RequestCollector(int maxBodyBytes, DecodingRateLimit rate) {
 		this.maxBodyBytes = maxBodyBytes;
+		this.rate = rate;
 	}
 
 	@Override
 	public void channelRead(ChannelHandlerContext context, Object message) {
+		this.parts++;
+		this.rate.decoded();
+		if (pauseDue()) {
+			// Ends the series of reads.
+			context.channel().config().setAutoRead(false);
+		}
 		try {
 			if (!this.refused && message instanceof HttpRequest request) {
 				begin(context, request);
@@ -120,6 +134,18 @@
 		this.body.release();
 	}
 
+	/**
+	 * Returns whether the connection has sent so many parts that others come first.
+	 * @return {@code true} if it should not be read for now
+	 */
+	boolean pauseDue() {
+		return this.parts > DecodingRateLimit.FEW_PARTS && this.rate.exhausted();
+	}
+
+	void resetParts() {
+		this.parts = 0;
+	}
+
 	/**
 	 * Returns whether a request has been received in part.
 	 * @return {@code true} if its head is complete
--- a/control/src/main/java/io/lentilstream/control/limits/ClientLimits.java
+++ b/control/src/main/java/io/lentilstream/control/limits/ClientLimits.java
@@ -5,8 +5,9 @@
  *
  * @param memory bounds the memory
  * @param connections bounds the connections
+ * @param decoding bounds the processor time of decoding
  */
-public record ClientLimits(ClientMemory memory, ConnectionLimit connections) {
+public record ClientLimits(ClientMemory memory, ConnectionLimit connections, DecodingRateLimit decoding) {
 
 	/**
 	 * The default bound on the memory that all clients together make a process hold, in
@@ -32,7 +33,8 @@
 	 * @return the limits
 	 */
 	public static ClientLimits of(long maxMemoryBytes, int maxConnections) {
-		return new ClientLimits(new ClientMemory(maxMemoryBytes), new ConnectionLimit(maxConnections));
+		return new ClientLimits(new ClientMemory(maxMemoryBytes), new ConnectionLimit(maxConnections),
+				new DecodingRateLimit());
 	}
 
 }
