--- a/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
+++ b/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
@@ -318,13 +318,13 @@
 	@Override
 	public void shed() {
 		boolean unread = !this.context.channel().isWritable();
-		if (unread || this.closing || this.current == null && this.waiting.isEmpty() && !this.collector.receiving()) {
+		boolean onlyHandling = this.waiting.isEmpty() && !this.collector.receiving();
+		if (unread || this.closing || onlyHandling && this.current == null) {
 			this.context.close();
 			this.share.update(CONNECTION_BYTES, 0);
 			return;
 		}
-		if (this.waiting.isEmpty() && !this.collector.receiving()) {
-			// Only the request that is being handled.
+		if (onlyHandling) {
 			return;
 		}
 		this.collector.abandon(TOO_BUSY).ifPresent(this.waiting::add);
--- a/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
+++ b/control/src/main/java/io/lentilstream/control/http/ReceivedRequest.java
@@ -16,9 +16,6 @@
 	/** The memory that a request takes beside its head and body, in bytes. */
 	private static final int OBJECT_BYTES = 512;
 
-	/** The memory that a field of the head takes beside its name and value, in bytes. */
-	private static final int FIELD_BYTES = 160;
-
 	/**
 	 * The memory that handling a request takes at most for each byte of its body: the
 	 * decoded job, its encoded form, and the commit that stores it.
@@ -112,7 +109,7 @@
 	int size() {
 		int length = OBJECT_BYTES + this.content.uri().length() + this.content.body().length;
 		for (Map.Entry<String, String> header : this.content.headers()) {
-			length += FIELD_BYTES + header.getKey().length() + header.getValue().length();
+			length += RequestDecoder.FIELD_BYTES + header.getKey().length() + header.getValue().length();
 		}
 		return length;
 	}
--- a/control/src/main/java/io/lentilstream/control/http/RequestDecoder.java
+++ b/control/src/main/java/io/lentilstream/control/http/RequestDecoder.java
@@ -24,7 +24,7 @@
 	private static final int MAX_FIELDS = 100;
 
 	/** The memory that a field takes beside its name and value, in bytes. */
-	private static final int FIELD_BYTES = 160;
+	static final int FIELD_BYTES = 160;
 
 	private final FieldCounter fields;
 
