--- a/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
+++ b/control/src/main/java/io/lentilstream/control/http/ClientConnection.java
@@ -43,6 +43,9 @@
 	 */
 	private static final int MAX_WAITING_BYTES = 65_536;
 
+	/** How many requests of a connection are handled before others have their turn. */
+	private static final int MAX_HANDLED_AT_ONCE = 16;
+
 	/** The memory that a connection takes without any request, in bytes. */
 	private static final int CONNECTION_BYTES = 6144;
 
@@ -174,9 +177,15 @@
 			return;
 		}
 		this.dispatching = true;
+		int handled = 0;
 		// A client that does not read its responses gets no more of them.
 		while (this.current == null && !this.waiting.isEmpty() && !this.closing
 				&& this.context.channel().isWritable()) {
+			if (handled == MAX_HANDLED_AT_ONCE) {
+				this.context.channel().eventLoop().execute(this::dispatch);
+				break;
+			}
+			handled++;
 			this.current = this.waiting.poll();
 			this.waitingBytes -= this.current.size();
 			handle(this.current);
