Log what a restart of a VM leaves uncertain

The lines of a restart did not tell whether a report had ever shown the runs that are given up, nor whether ends had been acknowledged to the former incarnation. The hypotheses of the incident differ in just that. The line names both now, and whether a report or the list of VMs shows the restart.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -339,7 +339,7 @@
 			return;
 		}
 		if (listing.incarnationStartMillis() > worker.incarnationStartMillis()) {
-			this.reportHandler.handleRestart(worker, listing.incarnationStartMillis(), now);
+			this.reportHandler.handleRestart(worker, listing.incarnationStartMillis(), "list", now);
 		}
 		worker.listing = listing;
 		this.zoneEvacuation.mark(worker);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -107,7 +107,7 @@
 	 */
 	void handleRestartIfNew(Worker worker, long startMillis, long now) {
 		if (startMillis != worker.incarnationStartMillis()) {
-			handleRestart(worker, startMillis, now);
+			handleRestart(worker, startMillis, "report", now);
 		}
 	}
 
@@ -116,11 +116,17 @@
 	 * unanswered start command may still reach the new incarnation.
 	 * @param worker the VM
 	 * @param startMillis when the new incarnation started, in milliseconds since 1970
+	 * @param evidence what shows the restart, for the log
 	 * @param now the current time in milliseconds
 	 */
-	void handleRestart(Worker worker, long startMillis, long now) {
+	void handleRestart(Worker worker, long startMillis, String evidence, long now) {
+		long unreported = worker.runs.values()
+			.stream()
+			.filter((run) -> run.phase == Run.Phase.RUNNING && !run.reported)
+			.count();
 		this.state.log.append("worker-restarted", worker, "born-ms", startMillis, "was-ms",
-				worker.incarnationStartMillis(), "runs", worker.runs.size());
+				worker.incarnationStartMillis(), "evidence", evidence, "runs", worker.runs.size(), "unreported",
+				unreported, "acknowledged", worker.acknowledged);
 		this.crashDetector.restarted(worker);
 		worker.restart(startMillis, now);
 		for (Run run : List.copyOf(worker.runs.values())) {
@@ -157,6 +163,7 @@
 		if (run == null) {
 			return;
 		}
+		run.reported = true;
 		this.takeover.ruleOutDependents(run, sent);
 		if (run.phase != Run.Phase.RUNNING) {
 			this.runStarter.markRunning(run, now);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -22,6 +22,9 @@
 	/** When the run entered its phase, in milliseconds. */
 	long phaseSince;
 
+	/** Whether a report of the VM's current incarnation has included the run. */
+	boolean reported;
+
 	/** Whether the run started on trial and has not passed. */
 	boolean onTrial;
 
