Show that tasks run twice when VMs carry out commands for earlier incarnations

The simulated VMs of the tests dropped the commands that were sent to an incarnation when it crashed. Now they can keep them: a command that arrives while the VM is down is carried out when it is back under its id. The simulation also counts a start after an end that is acknowledged later, as the rule does, unless the lease of the VM lapsed between them.

The new test restarts VMs under their ids and cuts them off soon after.

--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorker.java
@@ -101,6 +101,12 @@
 
 	private final List<TaskReport.Ended> ended = new ArrayList<>();
 
+	/** When the listed runs ended, in milliseconds, by their sequence number. */
+	private final Map<Long, Long> endTimes = new HashMap<>();
+
+	/** When the lease was last found to have lapsed, in milliseconds. */
+	private long lapsedAt = -1;
+
 	VirtualWorker(VirtualWorld world, String id, InetSocketAddress address) {
 		this.world = world;
 		this.id = id;
@@ -147,6 +153,7 @@
 		this.fencingToken = 0;
 		this.lastEndNumber = 0;
 		this.leaseEnd = 0;
+		this.lapsedAt = -1;
 		this.incarnation++;
 		this.up = false;
 	}
@@ -229,6 +236,7 @@
 		int run = this.running.remove(task);
 		this.highestEndedRuns.merge(task, run, Math::max);
 		this.ended.add(new TaskReport.Ended(++this.lastEndNumber, task, run, outcome, ""));
+		this.endTimes.put(this.lastEndNumber, this.world.clock.now());
 		this.world.recordStop(this, task);
 		if (outcome == RunOutcome.DONE) {
 			this.world.recordDone(task);
@@ -265,7 +273,8 @@
 		this.ended.removeIf((end) -> {
 			boolean acknowledged = end.number() <= request.acknowledged();
 			if (acknowledged) {
-				this.world.recordAcknowledged(end);
+				long endedAt = this.endTimes.get(end.number());
+				this.world.recordAcknowledged(end, endedAt, this.lapsedAt >= endedAt);
 			}
 			return acknowledged;
 		});
@@ -303,6 +312,9 @@
 	}
 
 	private void extend(long deadline) {
+		if (clockMillis() >= this.leaseEnd) {
+			this.lapsedAt = this.world.clock.now();
+		}
 		long latest = clockMillis() + this.world.settings.maxLeaseMillis();
 		this.leaseEnd = Math.max(this.leaseEnd, Math.min(deadline, latest));
 	}
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -71,6 +71,12 @@
 	/** The share of the commands without a result that are carried out seconds later. */
 	double delayed;
 
+	/**
+	 * Whether a restarted VM carries out commands that were sent to its earlier
+	 * incarnations, while it was down or delayed.
+	 */
+	boolean keepsCommands;
+
 	/** The tail latency that a VM reports for a serving task, in milliseconds. */
 	ToDoubleBiFunction<VirtualWorker, TaskName> tailModel = (worker, task) -> worker.tail;
 
@@ -122,6 +128,9 @@
 
 	private final Set<TaskName> acknowledgedDone = new HashSet<>();
 
+	/** When the last run of each task started, in milliseconds. */
+	private final Map<TaskName, Long> lastStarts = new HashMap<>();
+
 	private final Map<TaskName, Long> durations = new HashMap<>();
 
 	private int term = -1;
@@ -424,6 +433,7 @@
 			}
 		}
 		workerIds.add(worker.id);
+		this.lastStarts.put(task, this.clock.now());
 		Resources used = Resources.NONE;
 		for (TaskName running : worker.running.keySet()) {
 			StepSpec spec = this.submissions.get(running.job()).steps().get(running.step());
@@ -447,9 +457,21 @@
 		}
 	}
 
-	void recordAcknowledged(TaskReport.Ended end) {
-		if (end.outcome() == RunOutcome.DONE) {
-			this.acknowledgedDone.add(end.task());
+	/**
+	 * Records that a scheduler had a VM forget an end. An end that became known only
+	 * after the VM's lease had lapsed proves nothing.
+	 * @param end the end
+	 * @param endedAt when the run ended, in milliseconds
+	 * @param lapsedSince whether the lease of the VM has lapsed since then
+	 */
+	void recordAcknowledged(TaskReport.Ended end, long endedAt, boolean lapsedSince) {
+		if (end.outcome() != RunOutcome.DONE || lapsedSince) {
+			return;
+		}
+		this.acknowledgedDone.add(end.task());
+		if (this.lastStarts.get(end.task()) > endedAt && !specOf(end.task()).traits().speculative()) {
+			recordViolation("start of " + end.task() + " at " + this.lastStarts.get(end.task()) + " after its end at "
+					+ endedAt + ", acknowledged now");
 		}
 	}
 
@@ -507,19 +529,24 @@
 			boolean noResult = world.random.nextDouble() < world.unanswered;
 			if (noResult && world.random.nextDouble() < world.delayed) {
 				// The VM's process keeps the delayed command, so a crash discards it. A
-				// VM that
-				// is down does not receive it.
-				boolean received = target.up;
+				// VM that is down does not receive it.
+				boolean received = target.up || world.keepsCommands;
 				int receivedIn = target.incarnation;
 				world.clock.schedule(2000 + world.random.nextInt(4000), () -> {
-					if (received && target.reachableIn(this.schedulerTerm) && target.incarnation == receivedIn) {
+					boolean kept = target.incarnation == receivedIn || world.keepsCommands;
+					if (received && kept && target.reachableIn(this.schedulerTerm)) {
 						command.apply(target);
 					}
 				});
 				world.clock.schedule(timeout, () -> ifCurrentTerm.accept(missingResult));
 				return;
 			}
+			long timeoutAt = world.clock.now() + timeout;
 			world.clock.schedule(2, () -> {
+				if (!target.up && target.dark && !target.partitioned && world.keepsCommands) {
+					deliverOnRestart(target, command, missingResult, ifCurrentTerm, timeoutAt);
+					return;
+				}
 				if (!target.reachableIn(this.schedulerTerm)) {
 					boolean refused = !target.up && !target.dark && !target.partitioned;
 					world.clock.schedule(refused ? 1 : timeout, () -> ifCurrentTerm.accept(missingResult));
@@ -532,6 +559,28 @@
 			});
 		}
 
+		private <T> void deliverOnRestart(VirtualWorker target, Function<VirtualWorker, T> command, T missingResult,
+				Consumer<T> callback, long timeoutAt) {
+			VirtualClock time = VirtualWorld.this.clock;
+			long delay = 1 + VirtualWorld.this.random.nextInt(40);
+			boolean timedOut = time.now() >= timeoutAt;
+			if (timedOut) {
+				callback.accept(missingResult);
+			}
+			time.schedule(delay, () -> {
+				boolean arrived = target.reachableIn(this.schedulerTerm);
+				if (!arrived && !target.up) {
+					deliverOnRestart(target, command, missingResult, timedOut ? (result) -> {
+					} : callback, timedOut ? Long.MAX_VALUE : timeoutAt);
+					return;
+				}
+				T result = arrived ? command.apply(target) : missingResult;
+				if (!timedOut) {
+					time.schedule(2, () -> callback.accept(result));
+				}
+			});
+		}
+
 	}
 
 }
