Acknowledge ends only to an incarnation that answers

What callers saw: a task starts again after its run has ended as done and the VM was told to forget that end.

Cause: a request for a report says up to which number the VM may forget its ends. Each incarnation numbers its ends anew. A request that was meant for a former incarnation made the new one forget ends that nobody had read; the leader then took their runs for never started. This happened to requests that were repeated while the VM did not answer, and so were carried out by the VM that was back.

The number is only sent while the known incarnation answers, and not again once it has received it.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportPoller.java
@@ -69,10 +69,14 @@
 		worker.unansweredReportRequests++;
 		worker.lastReportRequestAt = now;
 		Worker.Incarnation incarnation = worker.incarnation;
-		WorkerCommands.ReportRequest request = new WorkerCommands.ReportRequest(deadline, worker.acknowledged,
+		WorkerCommands.ReportRequest request = new WorkerCommands.ReportRequest(deadline, worker.nextAcknowledgement(),
 				wait ? waitMillis : 0);
-		this.state.commands.requestReport(worker.listing, request,
-				(result) -> handleResult(worker, incarnation, now, result));
+		this.state.commands.requestReport(worker.listing, request, (result) -> {
+			handleResult(worker, incarnation, now, result);
+			if (result instanceof ReportResult.Reported && worker.incarnation == incarnation) {
+				worker.acknowledgementReceived(request.acknowledged());
+			}
+		});
 	}
 
 	private boolean mayRequest(Worker worker, long now) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -71,6 +71,9 @@
 	/** The sequence number up to which all ends are stored. */
 	long acknowledged;
 
+	/** The sequence number up to which the VM has certainly forgotten its ends. */
+	private long forgotten;
+
 	final ArrayDeque<UnstoredEnd> unstoredEnds = new ArrayDeque<>();
 
 	/**
@@ -169,6 +172,7 @@
 		this.lease = new WorkerLease();
 		this.lastEndNumber = 0;
 		this.acknowledged = 0;
+		this.forgotten = 0;
 		this.unstoredEnds.clear();
 		this.unansweredReportRequests = 0;
 		this.answeredReportRequestAt = Long.MIN_VALUE;
@@ -297,6 +301,21 @@
 		}
 	}
 
+	/**
+	 * Returns the sequence number to acknowledge with the next report request. A VM that
+	 * does not answer may be back as another incarnation, which must not forget its own
+	 * ends before they are read, so numbers are only sent while the known incarnation
+	 * answers, and not again once it has received them.
+	 * @return the number; 0 if there is nothing to acknowledge
+	 */
+	long nextAcknowledgement() {
+		return (this.missedReports == 0 && this.acknowledged > this.forgotten) ? this.acknowledged : 0;
+	}
+
+	void acknowledgementReceived(long number) {
+		this.forgotten = Math.max(this.forgotten, number);
+	}
+
 	@Override
 	public String toString() {
 		return Objects.toString(this.listing.id());
