Keep runs that the next incarnation of a VM may have confirmed

What callers saw: two runs of a task at a time, or a start after an end that was acknowledged later.

Cause: a VM is back under its id before the leader knows, confirms a start, and then the list of VMs or a report that is older than the start shows the restart. All confirmed runs counted as lost with the former incarnation, so the task started elsewhere 20 ms later, while it was in progress. If the VM was cut off before its first report, nothing stopped it.

Only runs that the former incarnation has reported are lost at once. Any other may be a run of the new one: it is kept until the new one reports it, or until a confirmed stop rules it out, or until leases have ended.

Two of the new tests in RestartedWorkerTests failed before.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -112,8 +112,9 @@
 	}
 
 	/**
-	 * Handles the start of a new incarnation of a VM. Confirmed runs are lost, but an
-	 * unanswered start command may still reach the new incarnation.
+	 * Handles the start of a new incarnation of a VM. Runs that the former incarnation
+	 * reported are lost. The new one may have carried out any other start command, also
+	 * if it was confirmed, since it answers to the same id.
 	 * @param worker the VM
 	 * @param startMillis when the new incarnation started, in milliseconds since 1970
 	 * @param evidence what shows the restart, for the log
@@ -130,7 +131,7 @@
 		this.crashDetector.restarted(worker);
 		worker.restart(startMillis, now);
 		for (Run run : List.copyOf(worker.runs.values())) {
-			if (run.phase == Run.Phase.RUNNING) {
+			if (run.reported) {
 				this.runEndHandler.handleLost(run, "VM restarted", now);
 			}
 			else {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/RestartedWorkerTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/RestartedWorkerTests.java
@@ -4,7 +4,9 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -33,6 +35,8 @@
 
 	private static final long FORMER = 5000;
 
+	private static final long LATER = 900_000;
+
 	private static final TaskName TASK = new TaskName(new JobId("job-1"), 0, 0, 0);
 
 	private long now = 1_000_000;
@@ -59,21 +63,19 @@
 	@Test
 	void endsAreNotAcknowledgedToAVmThatMayBeBackAsAnotherIncarnation() {
 		endTask();
-		this.commands.reports.poll().callback
-			.accept(new WorkerCommands.ReportResult.Missing(new CommandResult.Unknown()));
+		reports("w1").poll().callback.accept(new WorkerCommands.ReportResult.Missing(new CommandResult.Unknown()));
 		runFor(400);
-		assertThat(this.commands.reports.poll().request.acknowledged()).isZero();
+		assertThat(reports("w1").poll().request.acknowledged()).isZero();
 	}
 
 	@Test
 	void endsAreAcknowledgedAgainOnceTheIncarnationAnswers() {
 		endTask();
-		this.commands.reports.poll().callback
-			.accept(new WorkerCommands.ReportResult.Missing(new CommandResult.Unknown()));
+		reports("w1").poll().callback.accept(new WorkerCommands.ReportResult.Missing(new CommandResult.Unknown()));
 		runFor(400);
 		answerReport(FORMER, List.of(), List.of(done()));
 		runFor(400);
-		assertThat(this.commands.reports.poll().request.acknowledged()).isEqualTo(1);
+		assertThat(reports("w1").poll().request.acknowledged()).isEqualTo(1);
 	}
 
 	@Test
@@ -81,14 +83,67 @@
 		endTask();
 		answerReport(FORMER, List.of(), List.of());
 		runFor(400);
-		assertThat(this.commands.reports.poll().request.acknowledged()).isZero();
+		assertThat(reports("w1").poll().request.acknowledged()).isZero();
+	}
+
+	@Test
+	void confirmedRunIsKeptIfOnlyTheListShowsThatItsVmRestarted() {
+		this.scheduler.workerListed(listing("w2", FORMER));
+		this.scheduler.tick();
+		reports("w2").poll().callback.accept(new WorkerCommands.ReportResult.Reported(
+				new TaskReport(FORMER, this.now - FORMER, List.of(), List.of(), false)));
+		this.commands.startCallbacks.poll().accept(new CommandResult.Done(this.now - LATER));
+		list(LATER);
+		runFor(500);
+		assertThat(this.commands.startedTasks).hasSize(1);
+		reports("w1").poll();
+		answerReport(LATER, List.of(running()), List.of());
+		runFor(500);
+		assertThat(this.commands.startedTasks).hasSize(1);
+		assertThat(this.commands.stopCallbacks).isEmpty();
+	}
+
+	@Test
+	void runThatTheFormerIncarnationReportedStartsAgain() {
+		this.commands.startCallbacks.poll().accept(new CommandResult.Done(this.now - FORMER));
+		answerReport(FORMER, List.of(running()), List.of());
+		runFor(20);
+		answerReport(LATER, List.of(), List.of());
+		list(LATER);
+		runFor(1600);
+		assertThat(this.commands.startedTasks).hasSize(2);
+	}
+
+	@Test
+	void confirmedRunThatTheNewIncarnationDoesNotReportIsStoppedAndStartsAgain() {
+		this.commands.startCallbacks.poll().accept(new CommandResult.Done(this.now - LATER));
+		list(LATER);
+		runFor(20);
+		reports("w1").poll();
+		answerReport(LATER, List.of(), List.of());
+		runFor(20);
+		this.commands.stopCallbacks.poll().accept(new CommandResult.Done(this.now - LATER));
+		runFor(20);
+		answerReport(LATER, List.of(), List.of());
+		runFor(20);
+		answerReport(LATER, List.of(), List.of());
+		runFor(1600);
+		assertThat(this.commands.startedTasks).hasSize(2);
+	}
+
+	private Deque<PendingReport> reports(String worker) {
+		return this.commands.reports.get(new WorkerId(worker));
 	}
 
 	private void endTask() {
 		this.commands.startCallbacks.poll().accept(new CommandResult.Done(this.now - FORMER));
 		answerReport(FORMER, List.of(), List.of(done()));
 		runFor(400);
-		assertThat(this.commands.reports.peek().request.acknowledged()).isEqualTo(1);
+		assertThat(reports("w1").peek().request.acknowledged()).isEqualTo(1);
+	}
+
+	private static TaskReport.Running running() {
+		return new TaskReport.Running(TASK, 1, "", 10, 1000);
 	}
 
 	private static TaskReport.Ended done() {
@@ -106,7 +161,7 @@
 	}
 
 	private void answerReport(long startMillis, List<TaskReport.Running> running, List<TaskReport.Ended> ended) {
-		this.commands.reports.poll().callback.accept(new WorkerCommands.ReportResult.Reported(
+		reports("w1").poll().callback.accept(new WorkerCommands.ReportResult.Reported(
 				new TaskReport(startMillis, this.now - startMillis, running, ended, false)));
 	}
 
@@ -131,7 +186,7 @@
 
 		private final Deque<Consumer<CommandResult>> stopCallbacks = new ArrayDeque<>();
 
-		private final Deque<PendingReport> reports = new ArrayDeque<>();
+		private final Map<WorkerId, Deque<PendingReport>> reports = new HashMap<>();
 
 		@Override
 		public void start(WorkerListing worker, StartCommand command, Consumer<CommandResult> callback) {
@@ -152,7 +207,8 @@
 
 		@Override
 		public void requestReport(WorkerListing worker, ReportRequest request, Consumer<ReportResult> callback) {
-			this.reports.add(new PendingReport(request, callback));
+			this.reports.computeIfAbsent(worker.id(), (id) -> new ArrayDeque<>())
+				.add(new PendingReport(request, callback));
 		}
 
 	}
