Wait for leases that a restarted VM took from earlier commands

What callers would see: a task starts elsewhere while it is in progress on a VM that restarted under its id and was cut off.

Cause: the deadline of a command is a time on the clock of the VM. That of a command for the former incarnation lies far ahead on the new clock, so the VM grants the longest lease. The leader counted only what it had granted since it knew of the restart, which is less when its own lease is about to end.

The leader counts the longest lease from the first report of the new incarnation on; commands for the former one have no effect after that report.

Evidence: the new test in RestartedWorkerTests failed before (the task started again within 6 s).

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -69,6 +69,11 @@
 		if (!worker.hasReported) {
 			worker.hasReported = true;
 			worker.firstReportAt = now;
+			if (worker.restarted) {
+				// Deadlines of commands for the former incarnation are far ahead of the
+				// new clock, so they extend leases by as much as the VM grants.
+				worker.lease.inherit(now + SchedulerSettings.onOwnClock(this.state.settings.maxLeaseMillis()));
+			}
 			long lapsed = report.ended().stream().filter((end) -> end.outcome() == RunOutcome.LAPSED).count();
 			this.state.log.append("worker-opened", worker, "running", report.running().size(), "ended",
 					report.ended().size(), "lapsed", lapsed);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
@@ -32,6 +32,16 @@
 		return Math.min(this.maxLeaseMillis, MAX_LEASE_AFTER_LEADERSHIP_MILLIS);
 	}
 
+	/**
+	 * Returns how long a lease may last on the clock of this process, since that of a VM
+	 * may run slow.
+	 * @param leaseMillis the lease on the clock of the VM, in milliseconds
+	 * @return the time in milliseconds, 5% longer
+	 */
+	static long onOwnClock(long leaseMillis) {
+		return leaseMillis * 21 / 20;
+	}
+
 	/**
 	 * Tells whether a feature is enabled.
 	 * @param feature the feature
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
@@ -214,11 +214,10 @@
 		return this.state.settings.predecessorLeadershipMillis() + maxLeaseAfterLeadershipMillis();
 	}
 
-	// Adds 5% to the lease, since the clock of a VM may run slow.
 	private long maxLeaseAfterLeadershipMillis() {
 		SchedulerSettings settings = this.state.settings;
 		long lease = this.leasesLimited ? settings.leaseAfterLeadershipMillis() : settings.maxLeaseMillis();
-		return lease * 21 / 20;
+		return SchedulerSettings.onOwnClock(lease);
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -65,6 +65,9 @@
 	/** The run that probes the VM after failures; {@code null} if there is none. */
 	Run probe;
 
+	/** Whether this scheduler has known a former incarnation. */
+	boolean restarted;
+
 	/**
 	 * Whether commands that were sent to a former incarnation may still be carried out.
 	 */
@@ -194,6 +197,7 @@
 		this.faultBelief = new FaultBelief();
 		this.drained = false;
 		this.incarnationListed = false;
+		this.restarted = true;
 		this.fencePending = true;
 	}
 
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/RestartedWorkerTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/RestartedWorkerTests.java
@@ -43,12 +43,14 @@
 
 	private boolean fenceAvailable;
 
+	private long leaderUntil = Long.MAX_VALUE / 2;
+
 	private final ScriptedCommands commands = new ScriptedCommands();
 
 	private final JobScheduler scheduler = new JobScheduler(VirtualWorld.SETTINGS, this.commands,
 			(decision, subject, inputs) -> {
 			}, () -> this.now, () -> this.now,
-			new LeadershipLease(0, () -> Long.MAX_VALUE / 2, (worker) -> this.fenceAvailable));
+			new LeadershipLease(0, () -> this.leaderUntil, (worker) -> this.fenceAvailable));
 
 	@BeforeEach
 	void startTask() {
@@ -91,10 +93,7 @@
 
 	@Test
 	void confirmedRunIsKeptIfOnlyTheListShowsThatItsVmRestarted() {
-		this.scheduler.workerListed(listing("w2", FORMER));
-		this.scheduler.tick();
-		reports("w2").poll().callback.accept(new WorkerCommands.ReportResult.Reported(
-				new TaskReport(FORMER, this.now - FORMER, List.of(), List.of(), false)));
+		addIdleWorker();
 		this.commands.startCallbacks.poll().accept(new CommandResult.Done(this.now - LATER));
 		list(LATER);
 		runFor(500);
@@ -169,6 +168,41 @@
 		assertThat(this.scheduler.fenced()).isTrue();
 	}
 
+	@Test
+	void silentRestartedVmIsWaitedForAsLongAsItsLeaseFromACommandForTheFormerIncarnationMayLast() {
+		addIdleWorker();
+		this.fenceAvailable = true;
+		this.commands.startCallbacks.poll().accept(new CommandResult.Done(this.now - LATER));
+		list(LATER);
+		runFor(20);
+		reports("w1").poll();
+		this.leaderUntil = this.now;
+		answerReport(LATER, List.of(running()), List.of());
+		for (long end = this.now + 6000; this.now < end;) {
+			runFor(20);
+			reports("w1").forEach((report) -> report.callback
+				.accept(new WorkerCommands.ReportResult.Missing(new CommandResult.Unknown())));
+			reports("w1").clear();
+		}
+		assertThat(this.commands.startedTasks).hasSize(1);
+		runFor(2000);
+		assertThat(this.commands.startedTasks).hasSize(2);
+	}
+
+	private void addIdleWorker() {
+		this.scheduler.workerListed(listing("w2", FORMER));
+		this.scheduler.tick();
+		answerIdleWorker();
+	}
+
+	private void answerIdleWorker() {
+		Deque<PendingReport> requests = this.commands.reports.getOrDefault(new WorkerId("w2"), new ArrayDeque<>());
+		while (!requests.isEmpty()) {
+			requests.poll().callback.accept(new WorkerCommands.ReportResult.Reported(
+					new TaskReport(FORMER, this.now - FORMER, List.of(), List.of(), false)));
+		}
+	}
+
 	private Deque<PendingReport> reports(String worker) {
 		return this.commands.reports.get(new WorkerId(worker));
 	}
@@ -206,6 +240,7 @@
 	private void runFor(long millis) {
 		for (long end = this.now + millis; this.now < end; this.now += 20) {
 			this.scheduler.tick();
+			answerIdleWorker();
 			this.scheduler.pollChanges(9).forEach(this.scheduler::changeStored);
 		}
 	}
