--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -478,11 +478,11 @@
 	 * @param lapsedSince whether the lease of the VM has lapsed since then
 	 */
 	void recordAcknowledged(TaskReport.Ended end, long endedAt, boolean lapsedSince) {
-		if (end.outcome() != RunOutcome.DONE || lapsedSince) {
+		if (end.outcome() != RunOutcome.DONE) {
 			return;
 		}
 		this.acknowledgedDone.add(end.task());
-		if (this.lastStarts.get(end.task()) > endedAt && !specOf(end.task()).traits().speculative()) {
+		if (!lapsedSince && this.lastStarts.get(end.task()) > endedAt && !specOf(end.task()).traits().speculative()) {
 			List<String> found = this.startedUnpreventably.contains(end.task()) ? this.unpreventable : this.violations;
 			found.add(this.clock.now() + " start of " + end.task() + " at " + this.lastStarts.get(end.task())
 					+ " after its end at " + endedAt + ", acknowledged now");
