Blame a crash only on runs that the crashed incarnation had

Cause: when a VM is back under its id, all runs that are bound to it were counted as causes of the crash, also one that was ordered 91 ms after the birth of the new incarnation and was in progress there. The next crash of that VM counted again.

A run that no report of the former incarnation has shown is undecided: if the new one has started it, the former one never had it and its crash is not the run's; if not, the crash counts as before, some milliseconds later.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashAttribution.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashAttribution.java
@@ -64,13 +64,14 @@
 	 * Handles the crash of a VM that was not draining.
 	 * @param incarnation the incarnation that crashed
 	 * @param runs the runs that were known to be on the VM
+	 * @param undecided the tasks of which it is not known yet whether they were on it
 	 * @param now the current time in milliseconds
 	 * @return the number of tasks to which the crash was attributed
 	 */
-	int handleCrash(WorkerIncarnation incarnation, List<SuspectRun> runs, long now) {
+	int handleCrash(WorkerIncarnation incarnation, List<SuspectRun> runs, Set<Task> undecided, long now) {
 		Set<Task> onTrial = new HashSet<>();
 		runs.stream().filter(SuspectRun::onTrial).forEach((run) -> onTrial.add(run.task()));
-		Set<Task> suspects = attribute(incarnation, runs, onTrial);
+		Set<Task> suspects = attribute(incarnation, runs, undecided, onTrial);
 		suspects.forEach(this::suspect);
 		boolean othersToo = othersFellSilentWith(incarnation);
 		for (Task task : suspects) {
@@ -82,7 +83,8 @@
 	}
 
 	// Adds the tasks whose recorded loss was a trial to those on trial.
-	private Set<Task> attribute(WorkerIncarnation incarnation, List<SuspectRun> runs, Set<Task> onTrial) {
+	private Set<Task> attribute(WorkerIncarnation incarnation, List<SuspectRun> runs, Set<Task> undecided,
+			Set<Task> onTrial) {
 		Set<Task> suspects = new LinkedHashSet<>();
 		for (SuspectRun run : runs) {
 			if (run.age().minMillis() < MAX_AGE_MILLIS && run.task().unfinished()) {
@@ -93,7 +95,7 @@
 		for (Task task : this.state.suspects) {
 			Loss loss = task.suspicion.loss(incarnation);
 			boolean mayHaveRun = loss != null || task.suspicion.mayHaveBeenPlannedOn(incarnation);
-			if (!mayHaveRun || !task.unfinished() || !suspects.add(task)) {
+			if (!mayHaveRun || !task.unfinished() || undecided.contains(task) || !suspects.add(task)) {
 				continue;
 			}
 			if (loss != null && loss.onTrial()) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/CrashDetector.java
@@ -1,8 +1,9 @@
 package io.lentilstream.jobs.scheduling;
 
-import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 import io.lentilstream.jobs.StoredSuspicion.AgeRange;
 import io.lentilstream.jobs.StoredSuspicion.Loss;
@@ -45,7 +46,8 @@
 		for (Loss loss : this.crashAttribution.lossesAt(successor.listing.address())) {
 			WorkerIncarnation lost = loss.incarnation();
 			if (lost.startMillis() < successor.incarnationStartMillis()) {
-				int runs = this.crashAttribution.handleCrash(lost, List.of(), this.state.now());
+				int runs = this.crashAttribution.handleCrash(lost, List.of(), undecidedTasks(successor),
+						this.state.now());
 				this.state.log.append("worker-crashed", lost.worker(), "born-ms", lost.startMillis(), "evidence",
 						"replaced by " + successor.id() + " after its leases had ended", "runs", runs);
 			}
@@ -90,9 +92,58 @@
 	 * @param worker the VM
 	 */
 	void restarted(Worker worker) {
-		List<SuspectRun> runs = runsOf(worker);
-		logCrash(worker, runs, "restarted");
-		attribute(worker, runs);
+		logCrash(worker, runsOf(worker), "restarted");
+		for (Run run : worker.runs.values()) {
+			if (!run.reported && !worker.drained) {
+				run.undecidedCrash = new UndecidedCrash(worker.currentIncarnation(),
+						worker.incarnationListed ? List.of(suspectRun(worker, run)) : List.of());
+			}
+		}
+		attribute(worker,
+				worker.runs.values()
+					.stream()
+					.filter((run) -> run.reported)
+					.map((run) -> suspectRun(worker, run))
+					.toList());
+	}
+
+	/**
+	 * Handles that the current incarnation of a VM has started a run, so that the former
+	 * one never had it.
+	 * @param run the run
+	 */
+	void startedByCurrentIncarnation(Run run) {
+		if (run.undecidedCrash == null) {
+			return;
+		}
+		run.task.suspicion.removeLoss(run.undecidedCrash.incarnation());
+		if (run.task.suspicion.none()) {
+			this.state.suspects.remove(run.task);
+		}
+		run.undecidedCrash = null;
+	}
+
+	/**
+	 * Handles that the current incarnation of a VM has not started a run, so that the
+	 * former one may have crashed under it.
+	 * @param run the run
+	 */
+	void notStartedByCurrentIncarnation(Run run) {
+		if (run.undecidedCrash == null) {
+			return;
+		}
+		UndecidedCrash crash = run.undecidedCrash;
+		run.undecidedCrash = null;
+		this.crashAttribution.handleCrash(crash.incarnation(), crash.runs(), undecidedTasks(run.worker),
+				this.state.now());
+	}
+
+	private static Set<Task> undecidedTasks(Worker worker) {
+		return worker.runs.values()
+			.stream()
+			.filter((run) -> run.undecidedCrash != null)
+			.map((run) -> run.task)
+			.collect(Collectors.toSet());
 	}
 
 	/**
@@ -111,15 +162,15 @@
 		// A VM that this scheduler never saw in the list may have been draining. Losses
 		// that a predecessor recorded count, since it saw the VM.
 		this.crashAttribution.handleCrash(worker.currentIncarnation(), worker.incarnationListed ? runs : List.of(),
-				this.state.now());
+				undecidedTasks(worker), this.state.now());
 	}
 
 	private List<SuspectRun> runsOf(Worker worker) {
-		long now = this.state.now();
-		List<SuspectRun> runs = new ArrayList<>();
-		worker.runs.values()
-			.forEach((run) -> runs.add(new SuspectRun(run.task, worker.ageAtCrash(run, now), run.onTrial)));
-		return runs;
+		return worker.runs.values().stream().map((run) -> suspectRun(worker, run)).toList();
+	}
+
+	private SuspectRun suspectRun(Worker worker, Run run) {
+		return new SuspectRun(run.task, worker.ageAtCrash(run, this.state.now()), run.onTrial);
 	}
 
 	private void logCrash(Worker worker, List<SuspectRun> runs, String evidence) {
@@ -143,4 +194,13 @@
 	record SuspectRun(Task task, AgeRange age, boolean onTrial) {
 	}
 
+	/**
+	 * The crash of an incarnation under a run that it may not have started.
+	 *
+	 * @param incarnation the incarnation
+	 * @param runs the run, or nothing if the incarnation may have been draining
+	 */
+	record UndecidedCrash(WorkerIncarnation incarnation, List<SuspectRun> runs) {
+	}
+
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -158,6 +158,9 @@
 		}
 		Run run = worker.runs.get(new Run.RunKey(end.task(), end.run()));
 		task.lastRun = Math.max(task.lastRun, end.run());
+		if (run != null) {
+			this.crashDetector.startedByCurrentIncarnation(run);
+		}
 		this.runEndHandler.handleEnd(task, end.run(), run, worker, end.outcome(), end.checkpoint(), now);
 		worker.unstoredEnds.add(new Worker.UnstoredEnd(end.number(), task.job, task.job.version));
 	}
@@ -171,6 +174,7 @@
 			return;
 		}
 		run.reported = true;
+		this.crashDetector.startedByCurrentIncarnation(run);
 		this.takeover.ruleOutDependents(run, sent);
 		if (run.phase != Run.Phase.RUNNING) {
 			this.runStarter.markRunning(run, now);
@@ -233,6 +237,7 @@
 				boolean fencedOff = run.startSentAt < worker.fencedAt && sent >= worker.fencedAt;
 				boolean stopped = run.stopConfirmedAt >= 0 && sent > run.stopConfirmedAt;
 				if ((fencedOff || stopped) && !mayHaveEnded) {
+					this.crashDetector.notStartedByCurrentIncarnation(run);
 					this.runEndHandler.handleLost(run, "never started", now);
 				}
 				else {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Run.java
@@ -25,6 +25,12 @@
 	/** Whether a report of the VM's current incarnation has included the run. */
 	boolean reported;
 
+	/**
+	 * The crash of a former incarnation of the VM that this run has caused if the current
+	 * one has not started it; {@code null} if there is none.
+	 */
+	CrashDetector.UndecidedCrash undecidedCrash;
+
 	/** Whether the run started on trial and has not passed. */
 	boolean onTrial;
 
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/RestartedWorkerTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/RestartedWorkerTests.java
@@ -189,6 +189,17 @@
 		assertThat(this.commands.startedTasks).hasSize(2);
 	}
 
+	@Test
+	void runOfTheNewIncarnationIsNotSuspectedOfTheCrashOfTheFormerOne() {
+		this.commands.startCallbacks.poll().accept(new CommandResult.Done(this.now - LATER));
+		list(LATER);
+		runFor(20);
+		reports("w1").poll();
+		answerReport(LATER, List.of(running()), List.of());
+		runFor(20);
+		assertThat(this.scheduler.state.suspects).isEmpty();
+	}
+
 	private void addIdleWorker() {
 		this.scheduler.workerListed(listing("w2", FORMER));
 		this.scheduler.tick();
