Start long-running tasks that fit only on a VM kept as headroom

Cause: headroom was counted in whole VMs without long-running tasks, also if only one such VM is left, however little of it the task takes, and without a bound on the wait. The log did not tell; the new line task-waits counts the VMs by the reason for which they do not take a task.

Change: after 1.2 s a first start may take such a VM if long-running tasks leave a quarter of the processor time beside it, after 2 s if they leave the headroom that short tasks have needed. The bounds come from the 3 s in which such tasks have to run. A refusal speaks only for tasks of the step to which the same restrictions apply, so a task that has just been lost does not stop one that has waited longer.

A refused first start is now tested with a task that the headroom refuses for good, since the former one is admitted after 1.2 s; the test of restarts before other tasks begins once all tasks run that the headroom admits.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
@@ -1,6 +1,6 @@
 package io.lentilstream.jobs.scheduling;
 
-import java.util.Collection;
+import java.util.List;
 
 /**
  * Keeps some VMs free of long-running tasks for urgent short tasks, which need reserved
@@ -51,24 +51,76 @@
 	 * @return {@code false} if such VMs are needed as headroom
 	 */
 	boolean mayTakeFreeWorker(Task task) {
-		Collection<Worker> workers = this.state.workers.values();
-		double capacity = 0;
-		double free = 0;
-		long largest = 0;
-		for (Worker worker : workers) {
-			if (!worker.hasReported || worker.unlistedSince >= 0 || worker.missedReports > 0 || worker.evacuated
-					|| !worker.listing.service().equals(task.job.policy.service())) {
-				continue;
-			}
-			long cores = worker.listing.capacity().milliCores();
-			capacity += cores;
-			if (worker.longRunningDemand == 0) {
-				free += cores;
-				largest = Math.max(largest, cores);
+		Use use = Use.of(usableWorkers(task));
+		return use.free - use.largestFree >= required(use);
+	}
+
+	/**
+	 * Tells whether long-running tasks leave the largest headroom that is ever kept, also
+	 * beside another one.
+	 * @param task the task
+	 * @return {@code false} if urgent tasks may need the processor time
+	 */
+	boolean isAmpleBeside(Task task) {
+		Use use = Use.of(usableWorkers(task));
+		return use.unusedBeside(task) >= MAX_SHARE * use.capacity;
+	}
+
+	/**
+	 * Tells whether long-running tasks leave the headroom that urgent tasks have needed
+	 * lately, also beside another one.
+	 * @param task the task
+	 * @return {@code false} if urgent tasks may need the processor time
+	 */
+	boolean isEnoughBeside(Task task) {
+		Use use = Use.of(usableWorkers(task));
+		return use.unusedBeside(task) >= required(use);
+	}
+
+	private double required(Use use) {
+		return Math.max(MIN_SHARE * use.capacity, Math.min(MAX_SHARE * use.capacity, this.peakMilliCores));
+	}
+
+	private List<Worker> usableWorkers(Task task) {
+		return this.state.workers.values()
+			.stream()
+			.filter((worker) -> worker.hasReported && worker.unlistedSince < 0 && worker.missedReports == 0
+					&& !worker.evacuated && worker.listing.service().equals(task.job.policy.service()))
+			.toList();
+	}
+
+	/**
+	 * The use of the processor time of a service by long-running tasks, in thousandths of
+	 * a core.
+	 *
+	 * @param capacity the capacity of the VMs
+	 * @param longRunning the processor time that long-running tasks reserve
+	 * @param free the capacity of the VMs without such tasks
+	 * @param largestFree the capacity of the largest of these
+	 */
+	private record Use(double capacity, double longRunning, double free, double largestFree) {
+
+		double unusedBeside(Task task) {
+			return this.capacity - this.longRunning - task.spec().reserved().milliCores();
+		}
+
+		static Use of(List<Worker> workers) {
+			double total = 0;
+			double used = 0;
+			double unusedWorkers = 0;
+			double largest = 0;
+			for (Worker worker : workers) {
+				long cores = worker.listing.capacity().milliCores();
+				total += cores;
+				used += worker.longRunningDemand;
+				if (worker.longRunningDemand == 0) {
+					unusedWorkers += cores;
+					largest = Math.max(largest, cores);
+				}
 			}
+			return new Use(total, used, unusedWorkers, largest);
 		}
-		double required = Math.max(MIN_SHARE * capacity, Math.min(MAX_SHARE * capacity, this.peakMilliCores));
-		return free - largest >= required;
+
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -111,7 +111,7 @@
 				workerSelector, reliability);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
 		this.pausedRunMover = new PausedRunMover(this.state, this.runStopper, workerSelector);
-		this.loadLogger = new LoadLogger(this.state, timeOfDay);
+		this.loadLogger = new LoadLogger(this.state, timeOfDay, workerSelector);
 		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter,
 				new PlaceWaitTracker(this.state, workerSelector, this.state.runTimes.predictor()));
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
@@ -14,10 +14,13 @@
 
 	private final RoomLogger roomLogger;
 
+	private final WaitReasonLogger waitReasonLogger;
+
 	private long nextAt = Long.MIN_VALUE;
 
-	LoadLogger(SchedulerState state, LongSupplier timeOfDay) {
+	LoadLogger(SchedulerState state, LongSupplier timeOfDay, WorkerSelector workerSelector) {
 		this.state = state;
+		this.waitReasonLogger = new WaitReasonLogger(state, workerSelector);
 		this.roomLogger = new RoomLogger(state, new JobTimesLogger(state, timeOfDay));
 	}
 
@@ -31,6 +34,7 @@
 		}
 		this.nextAt = now + PERIOD_MILLIS;
 		this.roomLogger.log(now);
+		this.waitReasonLogger.log(now);
 		long capacity = 0;
 		long serving = 0;
 		long regular = 0;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -42,7 +42,7 @@
 	 */
 	private final List<Run> reserved = new ArrayList<>();
 
-	private final Map<StepState, StepCandidates> candidates = new HashMap<>();
+	private final Map<PlacementClass, StepCandidates> candidates = new HashMap<>();
 
 	/** When the next pass may begin, in milliseconds. */
 	private long nextPassAt = Long.MIN_VALUE;
@@ -78,30 +78,35 @@
 	}
 
 	private void place(long now) {
-		Set<StepState> blockedSteps = new HashSet<>();
+		Set<PlacementClass> blocked = new HashSet<>();
 		Map<Requirements, Resources> refusedSizes = new HashMap<>();
 		for (Task task : this.placementOrder.waitingTasks(now)) {
-			if (task.notBefore > now || blockedSteps.contains(task.step) || !this.state.waiting.contains(task)
+			if (task.notBefore > now || !this.state.waiting.contains(task)
 					|| this.state.firstStartDebouncer.defers(task, now)) {
 				continue;
 			}
+			PlacementClass placementClass = PlacementClass.of(task, this.workerSelector, now);
+			if (blocked.contains(placementClass)) {
+				continue;
+			}
 			if (SuspectStarter.handles(task)) {
 				this.suspectStarter.advance(task, now);
 				continue;
 			}
-			Requirements requirements = Requirements.of(task);
+			Requirements requirements = Requirements.of(task, placementClass.concessions);
 			if (refused(requirements, task, refusedSizes)
 					|| requirements.members() > 0 && refused(requirements.ofMember(), task, refusedSizes)) {
 				continue;
 			}
-			Outcome outcome = task.spec().traits().gang() ? startGang(task.step, now) : start(task, now);
+			Outcome outcome = task.spec().traits().gang() ? startGang(task.step, now)
+					: start(task, placementClass, now);
 			if (outcome == Outcome.WAITS_FOR_PLACE) {
 				continue;
 			}
 			if (outcome == Outcome.STARTED || outcome == Outcome.NOT_RECORDED && !task.spec().traits().gang()) {
 				continue;
 			}
-			blockedSteps.add(task.step);
+			blocked.add(placementClass);
 			if (outcome == Outcome.NO_CAPACITY && requirements.comparable()) {
 				refusedSizes.put(requirements, task.spec().size());
 			}
@@ -128,8 +133,8 @@
 		}
 	}
 
-	private Outcome start(Task task, long now) {
-		Worker worker = choose(task, now);
+	private Outcome start(Task task, PlacementClass placementClass, long now) {
+		Worker worker = choose(task, placementClass, now);
 		if (worker == null) {
 			this.placeWaits.refused(task);
 			return Outcome.NO_CAPACITY;
@@ -147,11 +152,11 @@
 		return Outcome.STARTED;
 	}
 
-	private Worker choose(Task task, long now) {
+	private Worker choose(Task task, PlacementClass placementClass, long now) {
 		Collection<Worker> workers = this.state.workers.values();
 		if (StepCandidates.suits(task)) {
 			return this.candidates
-				.computeIfAbsent(task.step, (step) -> new StepCandidates(this.workerSelector, task, workers, now))
+				.computeIfAbsent(placementClass, (key) -> new StepCandidates(this.workerSelector, task, workers, now))
 				.best(task, now);
 		}
 		String rack = task.spec().placement().sameRack() ? rackOf(task.step) : ANY_RACK;
@@ -260,6 +265,27 @@
 
 	}
 
+	/**
+	 * The tasks of a step of which none starts in a pass if one of them is refused. The
+	 * members of a gang are refused together.
+	 *
+	 * @param step the step
+	 * @param hasRunBefore whether the tasks have run before
+	 * @param concessions the restrictions that do not apply to them
+	 */
+	private record PlacementClass(StepState step, boolean hasRunBefore, PlacementConcessions concessions) {
+
+		private static final PlacementConcessions OF_GANG = new PlacementConcessions(false, false, false);
+
+		static PlacementClass of(Task task, WorkerSelector workerSelector, long now) {
+			if (task.spec().traits().gang()) {
+				return new PlacementClass(task.step, false, OF_GANG);
+			}
+			return new PlacementClass(task.step, task.hasRunBefore, workerSelector.concessions(task, now));
+		}
+
+	}
+
 	/**
 	 * The requirements of a task on its VM, or of a gang on the VMs of its members. If no
 	 * VM fits a task, then none fits a task with the same requirements that is at least
@@ -272,15 +298,16 @@
 	 * @param image the image of a best-effort task, which determines where it interferes;
 	 * empty for other tasks
 	 * @param placement the placement constraints
+	 * @param concessions the restrictions that do not apply
 	 */
 	private record Requirements(ServiceName service, int members, String kind, String image,
-			StepSpec.Placement placement) {
+			StepSpec.Placement placement, PlacementConcessions concessions) {
 
-		static Requirements of(Task task) {
+		static Requirements of(Task task, PlacementConcessions concessions) {
 			StepSpec spec = task.spec();
 			int members = spec.traits().gang() ? spec.count() : 0;
 			return new Requirements(task.job.policy.service(), members, kind(task),
-					spec.traits().bestEffort() ? spec.image() : "", spec.placement());
+					spec.traits().bestEffort() ? spec.image() : "", spec.placement(), concessions);
 		}
 
 		private static String kind(Task task) {
@@ -294,7 +321,7 @@
 		}
 
 		Requirements ofMember() {
-			return new Requirements(this.service, 0, this.kind, this.image, this.placement);
+			return new Requirements(this.service, 0, this.kind, this.image, this.placement, this.concessions);
 		}
 
 		boolean comparable() {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReliablePlacementRule.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReliablePlacementRule.java
@@ -55,13 +55,22 @@
 	 * @return {@code false} if the VM may be faulty and the task should not find out
 	 */
 	boolean permits(Task task, Worker worker, long now) {
-		if (!this.enabled || now - task.waitingSince > MAX_HOLD_MILLIS) {
+		if (permitsAny(task, now)) {
 			return true;
 		}
-		if (task.spec().traits().longRunning()) {
-			return worker.faultBelief.probability(now) <= MAX_FAULT_FOR_LONG_RUNNING;
-		}
-		return !lastAttempt(task) || worker.faultBelief.probability(now) <= MAX_FAULT_FOR_LAST_ATTEMPT;
+		double max = task.spec().traits().longRunning() ? MAX_FAULT_FOR_LONG_RUNNING : MAX_FAULT_FOR_LAST_ATTEMPT;
+		return worker.faultBelief.probability(now) <= max;
+	}
+
+	/**
+	 * Tells whether a task may be placed on any VM, as far as faults are concerned.
+	 * @param task the task
+	 * @param now the current time in milliseconds
+	 * @return {@code false} if it may only run on VMs that are believed to be sound
+	 */
+	boolean permitsAny(Task task, long now) {
+		return !this.enabled || now - task.waitingSince > MAX_HOLD_MILLIS
+				|| !task.spec().traits().longRunning() && !lastAttempt(task);
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Optional;
 
 import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.model.Resources;
@@ -14,6 +15,24 @@
  */
 final class WorkerSelector {
 
+	private static final Optional<PlacementObstacle> NONE = Optional.empty();
+
+	private static final Optional<PlacementObstacle> OTHER_SERVICE = Optional.of(PlacementObstacle.OTHER_SERVICE);
+
+	private static final Optional<PlacementObstacle> TAKES_NO_TASKS = Optional.of(PlacementObstacle.TAKES_NO_TASKS);
+
+	private static final Optional<PlacementObstacle> KEPT_FOR_TRIAL = Optional.of(PlacementObstacle.KEPT_FOR_TRIAL);
+
+	private static final Optional<PlacementObstacle> HEADROOM = Optional.of(PlacementObstacle.HEADROOM);
+
+	private static final Optional<PlacementObstacle> NO_CAPACITY = Optional.of(PlacementObstacle.NO_CAPACITY);
+
+	private static final Optional<PlacementObstacle> PLACEMENT = Optional.of(PlacementObstacle.PLACEMENT);
+
+	private static final Optional<PlacementObstacle> MAY_BE_FAULTY = Optional.of(PlacementObstacle.MAY_BE_FAULTY);
+
+	private static final Optional<PlacementObstacle> BUSY = Optional.of(PlacementObstacle.BUSY);
+
 	private static final double AFFINITY_SCORE = 100;
 
 	private static final double BEST_EFFORT_PENALTY = 2;
@@ -84,13 +103,23 @@
 		this.forecast = forecast;
 	}
 
+	/**
+	 * Returns the restrictions that no longer apply to a waiting task.
+	 * @param task the task
+	 * @param now the current time in milliseconds
+	 * @return the concessions
+	 */
+	PlacementConcessions concessions(Task task, long now) {
+		return PlacementConcessions.of(task, this.reliability.permitsAny(task, now), now);
+	}
+
 	Worker choose(Task task, Collection<Worker> workers, String rack, long now) {
-		boolean avoidsFreeWorkers = task.spec().traits().longRunning() && !this.headroom.mayTakeFreeWorker(task);
+		FreeWorkerUse freeWorkerUse = freeWorkerUse(task, now);
 		Worker best = null;
 		double bestScore = Double.NEGATIVE_INFINITY;
 		for (Worker worker : workers) {
-			boolean headroomOnly = avoidsFreeWorkers && worker.longRunningDemand == 0;
-			if (headroomOnly && !task.hasRunBefore || !eligible(task, worker, rack, now)) {
+			boolean headroomOnly = freeWorkerUse != FreeWorkerUse.LIKE_OTHERS && worker.longRunningDemand == 0;
+			if (headroomOnly && freeWorkerUse == FreeWorkerUse.NEVER || !eligible(task, worker, rack, now)) {
 				continue;
 			}
 			double score = score(task, worker) - (headroomOnly ? AFFINITY_SCORE : 0);
@@ -102,18 +131,63 @@
 		return best;
 	}
 
+	private FreeWorkerUse freeWorkerUse(Task task, long now) {
+		if (!task.spec().traits().longRunning() || this.headroom.mayTakeFreeWorker(task)) {
+			return FreeWorkerUse.LIKE_OTHERS;
+		}
+		PlacementConcessions concessions = concessions(task, now);
+		boolean permitted = task.hasRunBefore || concessions.freeWorkers() && this.headroom.isAmpleBeside(task)
+				|| concessions.headroom() && this.headroom.isEnoughBeside(task);
+		return permitted ? FreeWorkerUse.AFTER_OTHERS : FreeWorkerUse.NEVER;
+	}
+
 	boolean eligible(Task task, Worker worker, String rack, long now) {
+		return obstacle(task, worker, rack, now).isEmpty();
+	}
+
+	/**
+	 * Returns why a VM does not take a task, apart from the headroom.
+	 * @param task the task
+	 * @param worker the VM
+	 * @param rack the rack to which the task is restricted; empty if there is none
+	 * @param now the current time in milliseconds
+	 * @return the reason, or empty if the VM takes the task
+	 */
+	private Optional<PlacementObstacle> obstacle(Task task, Worker worker, String rack, long now) {
 		StepSpec spec = task.spec();
 		if (worker.keptFor != null && worker.keptFor != task) {
-			return false;
+			return KEPT_FOR_TRIAL;
 		}
-		if (!worker.acceptsTasks(now) || !worker.listing.service().equals(task.job.policy.service())) {
-			return false;
+		if (!worker.listing.service().equals(task.job.policy.service())) {
+			return OTHER_SERVICE;
 		}
-		if (!spec.reserved().fitsWithin(worker.free()) || (!rack.isEmpty() && !rack.equals(worker.listing.rack()))) {
-			return false;
+		if (!worker.acceptsTasks(now)) {
+			return TAKES_NO_TASKS;
+		}
+		if (!spec.reserved().fitsWithin(worker.free())) {
+			return NO_CAPACITY;
 		}
-		return allows(task, worker, now) && (!spec.traits().bestEffort() || canRunBestEffort(task, worker, now));
+		if (!rack.isEmpty() && !rack.equals(worker.listing.rack()) || !placementAllows(task, worker)) {
+			return PLACEMENT;
+		}
+		if (!this.reliability.permits(task, worker, now)) {
+			return MAY_BE_FAULTY;
+		}
+		return (spec.traits().bestEffort() && !canRunBestEffort(task, worker, now)) ? BUSY : NONE;
+	}
+
+	/**
+	 * Returns why a VM does not take a task.
+	 * @param task the task
+	 * @param worker the VM
+	 * @param now the current time in milliseconds
+	 * @return the reason, or empty if the VM takes the task
+	 */
+	Optional<PlacementObstacle> obstacle(Task task, Worker worker, long now) {
+		Optional<PlacementObstacle> found = obstacle(task, worker, "", now);
+		boolean keptFree = found.isEmpty() && worker.longRunningDemand == 0
+				&& freeWorkerUse(task, now) == FreeWorkerUse.NEVER;
+		return keptFree ? HEADROOM : found;
 	}
 
 	/**
@@ -124,14 +198,15 @@
 	 * @return {@code true} if it may
 	 */
 	boolean allows(Task task, Worker worker, long now) {
+		return placementAllows(task, worker) && this.reliability.permits(task, worker, now);
+	}
+
+	private static boolean placementAllows(Task task, Worker worker) {
 		StepSpec.Placement placement = task.spec().placement();
 		if (!placement.requiredLabel().isEmpty() && !worker.listing.labels().contains(placement.requiredLabel())) {
 			return false;
 		}
-		if (placement.maxPerWorker() > 0 && worker.countRuns(task.step) >= placement.maxPerWorker()) {
-			return false;
-		}
-		return this.reliability.permits(task, worker, now);
+		return placement.maxPerWorker() == 0 || worker.countRuns(task.step) < placement.maxPerWorker();
 	}
 
 	private boolean canRunBestEffort(Task task, Worker worker, long now) {
@@ -228,4 +303,20 @@
 		return 1 - used / Math.max(1, worker.listing.capacity().milliCores());
 	}
 
+	/**
+	 * Whether a task may be placed on the VMs without long-running tasks.
+	 */
+	private enum FreeWorkerUse {
+
+		/** Like on any other VM. */
+		LIKE_OTHERS,
+
+		/** Only if no other VM fits. */
+		AFTER_OTHERS,
+
+		/** Not, since they are kept as headroom. */
+		NEVER
+
+	}
+
 }
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/LoadPatternTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/LoadPatternTests.java
@@ -83,7 +83,8 @@
 		this.world.takeOver();
 		StepSpec longRunningStep = VirtualWorld.withTraits(VirtualWorld.step(8, 2000, 1000), LONG_RUNNING);
 		JobSubmission first = this.world.submit("first", 0, longRunningStep);
-		this.world.clock.runFor(1000);
+		// By then all tasks run that the headroom admits.
+		this.world.clock.runFor(4000);
 		this.world.submit("second", 0, longRunningStep);
 		int before = running(first);
 		this.world.workers.get("w0").crash();
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/RefusedTaskTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/RefusedTaskTests.java
@@ -79,7 +79,11 @@
 		this.world.clock.runFor(1000);
 		VirtualWorker first = this.world.workers.get("w0").running.isEmpty() ? this.world.workers.get("w1")
 				: this.world.workers.get("w0");
-		this.world.submit("refused", 0, VirtualWorld.withTraits(VirtualWorld.step(1, 2000, 1000), LONG_RUNNING));
+		// Urgent tasks that need all of the headroom.
+		this.world.submit("urgent", 0, VirtualWorld.step(16, 1000, 300));
+		this.world.clock.runFor(1000);
+		JobSubmission refused = this.world.submit("refused", 0,
+				VirtualWorld.withTraits(VirtualWorld.step(1, 6100, 1000), LONG_RUNNING));
 		this.world.clock.runFor(1000);
 		first.crash();
 		this.world.clock.runFor(9000);
@@ -87,6 +91,7 @@
 			.stream()
 			.flatMap((worker) -> worker.running.keySet().stream())
 			.filter((task) -> task.job().equals(lost.id()))).hasSize(1);
+		assertThat(this.world.state(refused)).isEqualTo(JobState.QUEUED);
 	}
 
 }
