Start jobs with nothing running behind refused ones of the same image

Cause: a pass skips tasks whose needs are those of a refused one. Whether a VM takes a best-effort task beside high tail latencies depends on its job too: it does after 1 s if nothing of the job runs.

Change: this is a concession to the task, and only tasks with the same concessions are skipped. The runs of a step are counted, since the question is now asked for each waiting task.

The new test of RefusedTaskTests failed before.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/ReportHandler.java
@@ -208,7 +208,7 @@
 		boolean needed = task.job.active() && !task.done && this.adoptedRunReview.keeps(run)
 				&& (task.runs.isEmpty() || task.spec().traits().speculative());
 		task.lastRun = Math.max(task.lastRun, reported.run());
-		task.runs.add(run);
+		task.addRun(run);
 		task.possiblyRunning = false;
 		worker.add(run);
 		this.state.waiting.remove(task);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
@@ -99,7 +99,7 @@
 
 	private static void detach(Run run) {
 		run.worker.remove(run);
-		run.task.runs.remove(run);
+		run.task.removeRun(run);
 		run.task.lastPercent = run.percent;
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
@@ -38,7 +38,7 @@
 		run.measured = task.checkpoint.isEmpty();
 		task.lastRun = number;
 		task.suspicion.forgetPredecessorsPlan();
-		task.runs.add(run);
+		task.addRun(run);
 		TaskTimerEvents.starting(run, now);
 		worker.add(run);
 		this.circuitBreaker.recordStart(run);
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
@@ -20,6 +20,9 @@
 
 	int done;
 
+	/** The number of runs of the tasks. */
+	int runs;
+
 	/**
 	 * Whether the tasks may start: the occurrence is due and all dependencies are done.
 	 */
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -109,6 +109,15 @@
 		return spec().traits().longRunning() && !this.hasRunBefore;
 	}
 
+	void addRun(Run run) {
+		this.runs.add(run);
+		this.step.runs++;
+	}
+
+	void removeRun(Run run) {
+		this.step.runs -= this.runs.remove(run) ? 1 : 0;
+	}
+
 	StoredSuspicion storedSuspicion() {
 		return this.done ? StoredSuspicion.NONE : this.suspicion.toStore(this.plannedStart);
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitReasonLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitReasonLogger.java
@@ -59,7 +59,7 @@
 		if (task.spec().traits().longRunning()) {
 			return waited >= MIN_LONG_RUNNING_WAIT_MILLIS;
 		}
-		return waited >= MIN_WAIT_MILLIS && task.step.tasks.stream().allMatch((member) -> member.runs.isEmpty());
+		return waited >= MIN_WAIT_MILLIS && task.step.runs == 0;
 	}
 
 	// The number of VMs for each reason.
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -110,7 +110,8 @@
 	 * @return the concessions
 	 */
 	PlacementConcessions concessions(Task task, long now) {
-		return PlacementConcessions.of(task, this.reliability.permitsAny(task, now), now);
+		boolean highTails = task.spec().traits().bestEffort() && starves(task, now);
+		return PlacementConcessions.of(task, this.reliability.permitsAny(task, now), highTails, now);
 	}
 
 	Worker choose(Task task, Collection<Worker> workers, String rack, long now) {
@@ -229,8 +230,11 @@
 		if (now - task.waitingSince < STARVING_MILLIS || !this.utilization.mostlyFree(task.job.policy.service())) {
 			return false;
 		}
+		if (task.spec().traits().longRunning()) {
+			return true;
+		}
 		List<StepState> steps = task.job.occurrences.getOrDefault(task.step.occurrence, List.of());
-		return steps.stream().flatMap((step) -> step.tasks.stream()).allMatch((member) -> member.runs.isEmpty());
+		return steps.stream().allMatch((step) -> step.runs == 0);
 	}
 
 	private boolean tailsStayLow(Task bestEffort, Worker worker, long now) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/RefusedTaskTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/RefusedTaskTests.java
@@ -1,10 +1,13 @@
 package io.lentilstream.jobs.scheduling;
 
+import java.util.List;
+
 import org.junit.jupiter.api.Test;
 
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
 import io.lentilstream.jobs.StepSpec;
+import io.lentilstream.model.Resources;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
@@ -94,4 +97,25 @@
 		assertThat(this.world.state(refused)).isEqualTo(JobState.QUEUED);
 	}
 
+	// Guards against a job with nothing running that is passed over because tasks of a
+	// running job with the same image are refused, which may not start beside high tails.
+	@Test
+	void aJobWithNothingRunningStartsBehindALargeJobOfTheSameImage() {
+		for (int i = 0; i < 4; i++) {
+			this.world.addWorker("w" + i).tail = 45;
+		}
+		this.world.takeOver();
+		StepSpec serving = new StepSpec(3, new Resources(2000, 100, 0), 0, List.of(), LONG_RUNNING,
+				new StepSpec.Placement("", "", false, 1), "serving", 50, -1);
+		this.world.submit("serving", 2, serving);
+		this.world.clock.runFor(3000);
+		StepSpec.Traits fills = new StepSpec.Traits(false, false, false, false, true);
+		this.world.submit("large", 2,
+				VirtualWorld.withImage(VirtualWorld.withTraits(VirtualWorld.step(32, 2000, 15_000), fills), "f", 0));
+		JobSubmission small = this.world.submit("small", 2,
+				VirtualWorld.withImage(VirtualWorld.withTraits(VirtualWorld.step(1, 2000, 15_000), fills), "f", 0));
+		this.world.clock.runFor(3000);
+		assertThat(this.world.state(small)).isEqualTo(JobState.RUNNING);
+	}
+
 }
