Let long-running tasks start beside the trial of another task

Cause: nothing bounds how long a kept VM is closed to a task that fits nowhere else.

Change: after 2 s such a task may take a kept VM, after all others.

Result: the new test of LongRunningPlacementTests failed before.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -275,7 +275,7 @@
 	 */
 	private record PlacementClass(StepState step, boolean hasRunBefore, PlacementConcessions concessions) {
 
-		private static final PlacementConcessions OF_GANG = new PlacementConcessions(false, false, false, false);
+		private static final PlacementConcessions OF_GANG = new PlacementConcessions(false, false, false, false, false);
 
 		static PlacementClass of(Task task, WorkerSelector workerSelector, long now) {
 			if (task.spec().traits().gang()) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -123,7 +123,8 @@
 			if (headroomOnly && freeWorkerUse == FreeWorkerUse.NEVER || !eligible(task, worker, rack, now)) {
 				continue;
 			}
-			double score = score(task, worker) - (headroomOnly ? AFFINITY_SCORE : 0);
+			double score = score(task, worker) - (headroomOnly ? AFFINITY_SCORE : 0)
+					- (keptForOther(task, worker) ? 2 * AFFINITY_SCORE : 0);
 			if (score > bestScore) {
 				best = worker;
 				bestScore = score;
@@ -156,7 +157,7 @@
 	 */
 	private Optional<PlacementObstacle> obstacle(Task task, Worker worker, String rack, long now) {
 		StepSpec spec = task.spec();
-		if (worker.keptFor != null && worker.keptFor != task) {
+		if (keptForOther(task, worker) && !concessions(task, now).trials()) {
 			return KEPT_FOR_TRIAL;
 		}
 		if (!worker.listing.service().equals(task.job.policy.service())) {
@@ -191,6 +192,10 @@
 		return keptFree ? HEADROOM : found;
 	}
 
+	private static boolean keptForOther(Task task, Worker worker) {
+		return worker.keptFor != null && worker.keptFor != task;
+	}
+
 	/**
 	 * Tells whether a task may run on a VM, regardless of capacity.
 	 * @param task the task
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/LongRunningPlacementTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/LongRunningPlacementTests.java
@@ -126,6 +126,25 @@
 		assertThat(this.world.state(urgent)).isEqualTo(JobState.COMPLETED);
 	}
 
+	// Guards against a task that waits behind the trial of another one on the only VM
+	// that
+	// has room.
+	@Test
+	void aTaskStartsOnAVmThatIsKeptForTheTrialOfAnother() {
+		addWorkers(2);
+		this.world.takeOver();
+		JobSubmission suspect = this.world.submit("suspect", 0, longRunning(1, new Resources(500, 500, 0), "", 0));
+		Worker kept = worker("w0");
+		Worker full = worker("w1");
+		this.world.clock.runFor(100);
+		kept.keptFor = this.world.scheduler.state.findTask(new TaskName(suspect.id(), 0, 0, 0));
+		full.consecutiveFailures = WorkerCircuitBreaker.FAILURE_THRESHOLD;
+		full.avoidUntil = Long.MAX_VALUE;
+		JobSubmission job = this.world.submit("lasting", 2, longRunning(1, new Resources(500, 500, 0), "", 0));
+		this.world.clock.runFor(MAX_START_MILLIS);
+		assertThat(running(job)).isEqualTo(1);
+	}
+
 	// Guards against a task that is passed over in each pass because another one of its
 	// step, which has just been lost, is refused before it.
 	@Test
