Create the tasks of wide steps as earlier ones start

Cause: all tasks of an occurrence were created when the job became known, some 3 KB each, also those of steps that wait for others; the stored progress had an entry for each task that was done.

Change: a step creates its tasks once it is released, 256 idle ones at a time, and stores a bit for each that is done. While there are 10,000 tasks in all, a step has 8 at a time, so that small jobs start. Progress with wide steps has a new version, which earlier versions of the program leave alone instead of running done tasks again.

--- a/jobs/src/main/java/io/lentilstream/jobs/JobProgress.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/JobProgress.java
@@ -13,10 +13,12 @@
  * @param startableOccurrences the number of occurrences, from the first, whose tasks may
  * have been started; {@link #UNKNOWN_OCCURRENCES} in progress stored without it
  * @param completedOccurrences the numbers of the occurrences whose tasks are all done
- * @param tasks the progress of tasks; a task without an entry has no stored progress
+ * @param tasks the progress of tasks; a task without an entry has no stored progress,
+ * unless its step has an entry
+ * @param steps the progress of wide steps
  */
 public record JobProgress(JobId job, JobState state, long endedAtMillis, int startableOccurrences,
-		List<Integer> completedOccurrences, List<TaskProgress> tasks) {
+		List<Integer> completedOccurrences, List<TaskProgress> tasks, List<StepProgress> steps) {
 
 	/**
 	 * Tells that all occurrences that have been due may have been started.
@@ -37,6 +39,32 @@
 		this(job, state, endedAtMillis, UNKNOWN_OCCURRENCES, completedOccurrences, tasks);
 	}
 
+	/**
+	 * Creates the progress of a job without wide steps.
+	 * @param job the job
+	 * @param state the state
+	 * @param endedAtMillis when the job ended, in milliseconds since 1970; 0 before that
+	 * @param startableOccurrences the number of occurrences whose tasks may have been
+	 * started
+	 * @param completedOccurrences the numbers of the occurrences whose tasks are all done
+	 * @param tasks the progress of tasks
+	 */
+	public JobProgress(JobId job, JobState state, long endedAtMillis, int startableOccurrences,
+			List<Integer> completedOccurrences, List<TaskProgress> tasks) {
+		this(job, state, endedAtMillis, startableOccurrences, completedOccurrences, tasks, List.of());
+	}
+
+	/**
+	 * The stored progress of a step with so many tasks that those that are done are
+	 * stored together.
+	 *
+	 * @param occurrence the number of the occurrence
+	 * @param step the number of the step
+	 * @param doneBits a bit for each task that is done, from the lowest of the first byte
+	 */
+	public record StepProgress(int occurrence, int step, byte[] doneBits) {
+	}
+
 	/**
 	 * The stored progress of a task.
 	 *
--- a/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/codec/ProgressCodec.java
@@ -10,6 +10,7 @@
 import org.msgpack.core.MessageUnpacker;
 
 import io.lentilstream.jobs.JobProgress;
+import io.lentilstream.jobs.JobProgress.StepProgress;
 import io.lentilstream.jobs.JobProgress.TaskProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.StoredSuspicion;
@@ -23,6 +24,12 @@
 
 	private static final int VERSION = 1;
 
+	/**
+	 * The version of progress with wide steps. Earlier versions of the program, which
+	 * would start tasks again that are done, cannot read it.
+	 */
+	private static final int WIDE_VERSION = 2;
+
 	private static final int FIELDS = 5;
 
 	private static final int TASK_FIELDS = 7;
@@ -38,7 +45,7 @@
 	public static byte[] encode(JobProgress progress) {
 		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
 			packer.packArrayHeader(FIELDS);
-			packer.packInt(VERSION);
+			packer.packInt(progress.steps().isEmpty() ? VERSION : WIDE_VERSION);
 			packer.packInt(progress.state().ordinal());
 			packer.packLong(progress.endedAtMillis());
 			packer.packArrayHeader(progress.completedOccurrences().size());
@@ -60,6 +67,9 @@
 			}
 			packSuspicions(packer, progress.tasks());
 			packer.packInt(progress.startableOccurrences());
+			if (!progress.steps().isEmpty()) {
+				packSteps(packer, progress.steps());
+			}
 			return packer.toByteArray();
 		}
 		catch (IOException ex) {
@@ -78,7 +88,7 @@
 		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(bytes)) {
 			int fields = unpacker.unpackArrayHeader();
 			int version = unpacker.unpackInt();
-			if (fields != FIELDS || version != VERSION) {
+			if (fields != FIELDS || version != VERSION && version != WIDE_VERSION) {
 				throw new DecodeException("unsupported version of job progress: " + version, null);
 			}
 			int ordinal = unpacker.unpackInt();
@@ -102,13 +112,40 @@
 				unpackSuspicions(unpacker, tasks);
 			}
 			int startable = unpacker.hasNext() ? unpacker.unpackInt() : JobProgress.UNKNOWN_OCCURRENCES;
-			return new JobProgress(job, JobState.values()[ordinal], endedAt, startable, occurrences, tasks);
+			List<StepProgress> steps = (version == WIDE_VERSION) ? unpackSteps(unpacker, bytes.length) : List.of();
+			return new JobProgress(job, JobState.values()[ordinal], endedAt, startable, occurrences, tasks, steps);
 		}
 		catch (IOException | MessagePackException | IllegalArgumentException ex) {
 			throw new DecodeException("job progress cannot be decoded", ex);
 		}
 	}
 
+	private static void packSteps(MessageBufferPacker packer, List<StepProgress> steps) throws IOException {
+		packer.packArrayHeader(steps.size());
+		for (StepProgress step : steps) {
+			packer.packInt(step.occurrence());
+			packer.packInt(step.step());
+			packer.packBinaryHeader(step.doneBits().length);
+			packer.writePayload(step.doneBits());
+		}
+	}
+
+	private static List<StepProgress> unpackSteps(MessageUnpacker unpacker, int length)
+			throws IOException, DecodeException {
+		List<StepProgress> steps = new ArrayList<>();
+		for (int remaining = unpacker.unpackArrayHeader(); remaining > 0; remaining--) {
+			int occurrence = unpacker.unpackInt();
+			int step = unpacker.unpackInt();
+			int bytes = unpacker.unpackBinaryHeader();
+			// The unpacker would reserve memory for any length.
+			if (step < 0 || bytes > length) {
+				throw new DecodeException("invalid step in job progress: " + step + ", " + bytes + " bytes", null);
+			}
+			steps.add(new StepProgress(occurrence, step, unpacker.readPayload(bytes)));
+		}
+		return steps;
+	}
+
 	// These and the number of occurrences follow the other fields, so that versions
 	// without them pass over them.
 	private static void packSuspicions(MessageBufferPacker packer, List<TaskProgress> tasks) throws IOException {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -167,8 +167,8 @@
 		return this.loadedAtTakeover && this.occurrences.values()
 			.stream()
 			.flatMap(List::stream)
-			.flatMap((step) -> step.tasks.stream())
-			.anyMatch((task) -> task.possiblyRunning || task.spec().traits().speculative());
+			.anyMatch((step) -> step.mayHaveUnknownRuns && step.hasUncreatedTasks() || step.spec.traits().speculative()
+					|| step.tasks().stream().anyMatch((task) -> task.possiblyRunning));
 	}
 
 	List<StepState> createOccurrence(int occurrence) {
@@ -187,21 +187,37 @@
 		if (steps == null || step < 0 || step >= steps.size()) {
 			return null;
 		}
-		List<Task> tasks = steps.get(step).tasks;
-		return (index >= 0 && index < tasks.size()) ? tasks.get(index) : null;
+		return steps.get(step).task(index);
+	}
+
+	/**
+	 * Returns the number of tasks that have been created and not discarded.
+	 * @return the number
+	 */
+	int createdTasks() {
+		return this.occurrences.values().stream().flatMap(List::stream).mapToInt((step) -> step.tasks().size()).sum();
 	}
 
 	JobProgress progress() {
 		List<JobProgress.TaskProgress> taskProgress = new ArrayList<>();
+		List<JobProgress.StepProgress> stepProgress = new ArrayList<>();
 		if (active()) {
-			this.occurrences.values().forEach((steps) -> steps.forEach((step) -> collectProgress(step, taskProgress)));
+			this.occurrences.values().forEach((steps) -> steps.forEach((step) -> {
+				collectProgress(step, taskProgress);
+				if (step.wide() && step.done > 0) {
+					stepProgress.add(new JobProgress.StepProgress(step.occurrence, step.number, step.doneBits()));
+				}
+			}));
 		}
 		return new JobProgress(id(), this.state, this.endedAtMillis, this.nextOccurrence,
-				List.copyOf(this.completedOccurrences), taskProgress);
+				List.copyOf(this.completedOccurrences), taskProgress, stepProgress);
 	}
 
 	private static void collectProgress(StepState step, List<JobProgress.TaskProgress> taskProgress) {
-		for (Task task : step.tasks) {
+		for (Task task : step.tasks()) {
+			if (task.done && step.wide()) {
+				continue;
+			}
 			boolean started = step.spec.traits().longRunning() && task.lastRun > 0;
 			StoredSuspicion suspicion = task.storedSuspicion();
 			if (task.done || started || !task.failedRuns.isEmpty() || !task.checkpoint.isEmpty() || !suspicion.none()) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobProgression.java
@@ -93,14 +93,18 @@
 			if (step.spec.traits().longRunning()) {
 				this.state.firstStartDebouncer.stepReleased(now);
 			}
-			for (Task task : step.tasks) {
-				task.dueAt = job.latestStart(step.number, (occurrence == 0) ? job.knownSince : now);
+			step.releasedAt = now;
+			step.dueAt = job.latestStart(step.number, (occurrence == 0) ? job.knownSince : now);
+			step.lateDueAt = step.dueAt + (LATE_FACTOR - 1) * job.objectiveMillis();
+			for (Task task : step.tasks()) {
+				task.dueAt = step.dueAt;
+				task.lateDueAt = step.lateDueAt;
 				TaskTimerEvents.released(task, now);
-				task.lateDueAt = task.dueAt + (LATE_FACTOR - 1) * job.objectiveMillis();
 				if (task.startable()) {
 					this.state.addWaiting(task);
 				}
 			}
+			this.state.taskFeeder.stepReleased(step);
 		}
 	}
 
@@ -140,7 +144,7 @@
 		for (List<StepState> steps : job.occurrences.values()) {
 			this.timesLogger.log(job, steps, finalState, now);
 			for (StepState step : steps) {
-				for (Task task : step.tasks) {
+				for (Task task : step.tasks()) {
 					this.state.waiting.remove(task);
 					this.state.suspects.remove(task);
 					List.copyOf(task.runs).forEach((run) -> this.runStopper.requestStop(run, "job " + finalState, now));
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -1,6 +1,7 @@
 package io.lentilstream.jobs.scheduling;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.Iterator;
@@ -160,8 +161,9 @@
 			if (task == null) {
 				continue;
 			}
-			task.done = taskProgress.done();
-			task.step.done += taskProgress.done() ? 1 : 0;
+			if (taskProgress.done()) {
+				task.step.markDone(task);
+			}
 			task.failedRuns.addAll(taskProgress.failedRuns());
 			task.lastRun = taskProgress.lastRun();
 			task.checkpoint = taskProgress.checkpoint();
@@ -170,6 +172,7 @@
 				this.state.suspects.add(task);
 			}
 		}
+		restoreSteps(job, stored);
 		// The clock of the predecessor may have been ahead.
 		for (int occurrence = 0; occurrence < stored.startableOccurrences(); occurrence++) {
 			if (!job.occurrences.containsKey(occurrence) && !job.completedOccurrences.contains(occurrence)) {
@@ -179,10 +182,29 @@
 		job.nextOccurrence = Math.max(0, stored.startableOccurrences());
 	}
 
+	private static void restoreSteps(Job job, JobProgress stored) {
+		for (JobProgress.StepProgress progress : stored.steps()) {
+			if (job.completedOccurrences.contains(progress.occurrence())) {
+				continue;
+			}
+			List<StepState> steps = job.occurrences.get(progress.occurrence());
+			if (steps == null) {
+				steps = job.createOccurrence(progress.occurrence());
+			}
+			if (progress.step() < steps.size()) {
+				BitSet done = BitSet.valueOf(progress.doneBits());
+				done.stream()
+					.limit(steps.get(progress.step()).spec.count())
+					.forEach(steps.get(progress.step())::recordDone);
+			}
+		}
+	}
+
 	private void restoreOccurrence(Job job, int occurrence, long now) {
 		List<StepState> steps = job.occurrences.get(occurrence);
 		for (StepState step : steps) {
-			for (Task task : step.tasks) {
+			step.mayHaveUnknownRuns = !step.complete();
+			for (Task task : step.tasks()) {
 				task.possiblyRunning = !task.done;
 				TaskTimerEvents.takenOver(task, now);
 			}
@@ -428,6 +450,7 @@
 				this.progression.startDueOccurrences(job, now);
 			}
 		}
+		this.state.taskFeeder.countTasks();
 		this.headroom.updatePeak();
 		this.utilization.update(now);
 		this.placementPass.reorder(now);
@@ -450,7 +473,8 @@
 	private void addWaitingTasks(Job job) {
 		for (List<StepState> steps : job.occurrences.values()) {
 			for (StepState step : steps) {
-				for (Task task : step.tasks) {
+				step.mayHaveUnknownRuns = false;
+				for (Task task : step.tasks()) {
 					task.possiblyRunning = false;
 					this.runEndHandler.addWaitingIfStartable(task);
 				}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobTimesLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobTimesLogger.java
@@ -34,7 +34,7 @@
 		}
 		JobTimes times = JobTimes.of(steps.stream()
 			.map((step) -> new JobTimes.StepTimers(step.spec.dependsOn(),
-					step.tasks.stream().map((task) -> task.timer).toList()))
+					step.tasks().stream().map((task) -> task.timer).toList()))
 			.toList(), now);
 		int occurrence = steps.get(0).occurrence;
 		long dueMillis = Math.max(job.submission.acceptedAtMillis(), job.submission.schedule().dueMillis(occurrence));
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
@@ -61,8 +61,8 @@
 		}
 		this.state.log.append("load", "workers", "usable", usable, "known", this.state.workers.size(),
 				"capacity-mcores", capacity, "serving-mcores", serving, "plain-mcores", regular, "filling-mcores",
-				bestEffort, "paced-mcores", throttled, "filling-waits-mcores", bestEffortWaiting, "other-waits-mcores",
-				othersWaiting);
+				bestEffort, "tasks-not-created", this.state.taskFeeder.uncreatedTasks(), "paced-mcores", throttled,
+				"filling-waits-mcores", bestEffortWaiting, "other-waits-mcores", othersWaiting);
 	}
 
 	private static long throttledMilliCores(Worker worker) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlaceWaitTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlaceWaitTracker.java
@@ -183,7 +183,7 @@
 	// A group that is split already gains nothing if another member waits.
 	private static String rackOf(StepState step) {
 		Set<String> racks = new HashSet<>();
-		step.tasks.forEach((task) -> task.runs.forEach((run) -> racks.add(run.worker.listing.rack())));
+		step.tasks().forEach((task) -> task.runs.forEach((run) -> racks.add(run.worker.listing.rack())));
 		return (racks.size() == 1) ? racks.iterator().next() : "";
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -68,6 +68,7 @@
 			return;
 		}
 		this.suspectStarter.discardEnded(now);
+		this.state.taskFeeder.feed();
 		place(now);
 		this.reserved.forEach((run) -> run.worker.remove(run));
 		this.reserved.clear();
@@ -168,7 +169,7 @@
 	}
 
 	private static String rackOf(StepState step) {
-		for (Task task : step.tasks) {
+		for (Task task : step.tasks()) {
 			if (!task.runs.isEmpty()) {
 				return task.runs.get(0).worker.listing.rack();
 			}
@@ -188,7 +189,7 @@
 	}
 
 	private Outcome startGang(StepState step, long now) {
-		if (!step.tasks.stream().allMatch((task) -> task.startable() && task.notBefore <= now)) {
+		if (!step.tasks().stream().allMatch((task) -> task.startable() && task.notBefore <= now)) {
 			return Outcome.NOT_READY;
 		}
 		Map<Task, Worker> assignments = Map.of();
@@ -206,11 +207,11 @@
 		if (assignments.isEmpty()) {
 			return Outcome.NO_CAPACITY;
 		}
-		if (!this.state.recordBeforeFirstStart(step.tasks.get(0))) {
+		if (!this.state.recordBeforeFirstStart(step.task(0))) {
 			assignments.forEach((member, worker) -> reserve(member, worker, now));
 			return Outcome.NOT_RECORDED;
 		}
-		int number = step.tasks.stream().mapToInt(this.runStarter::nextRunNumber).max().orElse(0);
+		int number = step.tasks().stream().mapToInt(this.runStarter::nextRunNumber).max().orElse(0);
 		for (Map.Entry<Task, Worker> assignment : assignments.entrySet()) {
 			this.runStarter.start(assignment.getKey(), assignment.getValue(), number, now);
 		}
@@ -228,7 +229,7 @@
 	private Map<Task, Worker> assignWorkers(StepState step, String rack, long now) {
 		Map<Task, Worker> assignments = new LinkedHashMap<>();
 		List<Run> members = new ArrayList<>();
-		for (Task task : step.tasks) {
+		for (Task task : step.tasks()) {
 			Worker worker = this.workerSelector.choose(task, this.state.workers.values(), rack, now);
 			if (worker == null) {
 				assignments.clear();
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RoomLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RoomLogger.java
@@ -64,7 +64,7 @@
 		int tasks = 0;
 		for (List<StepState> steps : job.occurrences.values()) {
 			for (StepState step : steps) {
-				for (Task task : step.tasks) {
+				for (Task task : step.tasks()) {
 					task.timer.drainTo(times, now);
 					tasks++;
 				}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunEndHandler.java
@@ -105,7 +105,7 @@
 
 	private void completeTask(Task task, long now) {
 		if (task.spec().traits().gang()) {
-			task.step.tasks.forEach((member) -> markDone(member, now));
+			task.step.tasks().forEach((member) -> markDone(member, now));
 		}
 		else {
 			markDone(task, now);
@@ -121,9 +121,8 @@
 		if (task.done) {
 			return;
 		}
-		task.done = true;
 		task.timer.end(now);
-		task.step.done++;
+		task.step.markDone(task);
 		this.state.waiting.remove(task);
 		this.state.suspects.remove(task);
 		if (!task.spec().traits().gang()) {
@@ -138,7 +137,7 @@
 		}
 		task.failedOn = worker.id();
 		if (task.spec().traits().gang()) {
-			task.step.tasks.forEach((member) -> member.failedRuns.add(number));
+			task.step.tasks().forEach((member) -> member.failedRuns.add(number));
 		}
 		this.state.markChanged(task.job);
 		if (task.failedRuns.size() >= task.job.policy.maxAttempts()) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
@@ -13,9 +13,13 @@
  * @param unlistedAfterMillis the time without heartbeats after which a VM is removed from
  * the list, in milliseconds
  * @param features the optional features that are enabled
+ * @param maxTasks the number of tasks from which each step has only a few at a time
  */
 public record SchedulerSettings(long maxLeaseMillis, double remoteFactor, long maxOverTargetMillis,
-		long predecessorLeadershipMillis, long unlistedAfterMillis, Set<SchedulerFeature> features) {
+		long predecessorLeadershipMillis, long unlistedAfterMillis, Set<SchedulerFeature> features, int maxTasks) {
+
+	/** The limit on tasks if none is given. */
+	private static final int DEFAULT_MAX_TASKS = 10_000;
 
 	/**
 	 * How long the leases of VMs may outlast the leadership under which they were
@@ -24,6 +28,24 @@
 	 */
 	private static final long MAX_LEASE_AFTER_LEADERSHIP_MILLIS = 4500;
 
+	/**
+	 * Creates settings with the default limit on tasks.
+	 * @param maxLeaseMillis the longest lease that a VM grants, in milliseconds
+	 * @param remoteFactor the factor by which a task takes longer away from its data
+	 * @param maxOverTargetMillis how long a serving task may miss its target, in
+	 * milliseconds
+	 * @param predecessorLeadershipMillis how long the leadership of a predecessor may
+	 * outlast a takeover, in milliseconds
+	 * @param unlistedAfterMillis the time without heartbeats after which a VM is removed
+	 * from the list, in milliseconds
+	 * @param features the optional features that are enabled
+	 */
+	public SchedulerSettings(long maxLeaseMillis, double remoteFactor, long maxOverTargetMillis,
+			long predecessorLeadershipMillis, long unlistedAfterMillis, Set<SchedulerFeature> features) {
+		this(maxLeaseMillis, remoteFactor, maxOverTargetMillis, predecessorLeadershipMillis, unlistedAfterMillis,
+				features, DEFAULT_MAX_TASKS);
+	}
+
 	/**
 	 * Returns how long the leases of VMs may outlast the leadership.
 	 * @return the time in milliseconds, at most the longest lease
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -37,6 +37,8 @@
 
 	final TreeSet<Task> waiting = new TreeSet<>(new WaitingTaskComparator());
 
+	final TaskFeeder taskFeeder = new TaskFeeder(this);
+
 	final FirstStartDebouncer firstStartDebouncer = new FirstStartDebouncer();
 
 	/** The jobs with changes that have not been handed out to be stored. */
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TakeoverTracker.java
@@ -142,7 +142,8 @@
 			return;
 		}
 		for (StepState step : dependents(steps, run.task.step)) {
-			step.tasks.forEach((task) -> task.possiblyRunning = false);
+			step.mayHaveUnknownRuns = false;
+			step.tasks().forEach((task) -> task.possiblyRunning = false);
 		}
 	}
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Task.java
@@ -110,12 +110,16 @@
 	}
 
 	void addRun(Run run) {
+		this.step.tasksWithRuns += this.runs.isEmpty() ? 1 : 0;
 		this.runs.add(run);
 		this.step.runs++;
 	}
 
 	void removeRun(Run run) {
-		this.step.runs -= this.runs.remove(run) ? 1 : 0;
+		if (this.runs.remove(run)) {
+			this.step.runs--;
+			this.step.tasksWithRuns -= this.runs.isEmpty() ? 1 : 0;
+		}
 	}
 
 	StoredSuspicion storedSuspicion() {
