Limit the start commands in flight

Beside wide jobs, ordinary ones waited for many seconds, or did not begin.

Cause: a pass started every task that fitted, thousands at once.

Change: a VM with 16 starts in flight takes no further task; a pass ends at 512 in all.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementObstacle.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementObstacle.java
@@ -14,6 +14,9 @@
 	 */
 	TAKES_NO_TASKS,
 
+	/** The VM has not answered several start commands yet. */
+	STARTS_IN_FLIGHT,
+
 	/** The VM is kept for the trial of another task. */
 	KEPT_FOR_TRIAL,
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -24,6 +24,12 @@
 
 	private static final String ANY_RACK = "";
 
+	/**
+	 * The number of start commands in flight from which a pass starts no further tasks,
+	 * so that tasks that become ready meanwhile do not wait behind them.
+	 */
+	private static final int MAX_STARTS_IN_FLIGHT = 512;
+
 	private final SchedulerState state;
 
 	private final WorkerSelector workerSelector;
@@ -82,6 +88,9 @@
 		Set<PlacementClass> blocked = new HashSet<>();
 		Map<Requirements, Resources> refusedSizes = new HashMap<>();
 		for (Task task : this.placementOrder.waitingTasks(now)) {
+			if (this.state.startsInFlight >= MAX_STARTS_IN_FLIGHT) {
+				return;
+			}
 			if (task.notBefore > now || !this.state.waiting.contains(task)
 					|| this.state.firstStartDebouncer.defers(task, now)) {
 				continue;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/RunStarter.java
@@ -52,7 +52,13 @@
 		long deadline = this.state.extendLease(worker, now);
 		WorkerCommands.StartCommand command = new WorkerCommands.StartCommand(task.name, number,
 				task.job.submission.payload(), task.checkpoint, deadline);
-		this.state.commands.start(worker.listing, command, (result) -> handleResult(run, result));
+		worker.startsInFlight++;
+		this.state.startsInFlight++;
+		this.state.commands.start(worker.listing, command, (result) -> {
+			worker.startsInFlight--;
+			this.state.startsInFlight--;
+			handleResult(run, result);
+		});
 	}
 
 	private void handleResult(Run run, CommandResult result) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerState.java
@@ -47,6 +47,9 @@
 	/** The tasks that may have crashed a VM. */
 	final Set<Task> suspects = new LinkedHashSet<>();
 
+	/** The number of start commands to all VMs that have not been answered. */
+	int startsInFlight;
+
 	/** Whether there is a change to be stored for which a caller may be waiting. */
 	boolean urgentChange;
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Worker.java
@@ -18,6 +18,12 @@
  */
 final class Worker {
 
+	/**
+	 * The number of start commands in flight from which a VM takes no further tasks. The
+	 * commands share a few connections, and their timeouts run while they wait.
+	 */
+	static final int MAX_STARTS_IN_FLIGHT = 16;
+
 	WorkerListing listing;
 
 	/**
@@ -151,6 +157,9 @@
 	 */
 	Task keptFor;
 
+	/** The number of start commands that have not been answered. */
+	int startsInFlight;
+
 	/** Whether another VM has reported at the address. */
 	boolean replaced;
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -21,6 +21,8 @@
 
 	private static final Optional<PlacementObstacle> TAKES_NO_TASKS = Optional.of(PlacementObstacle.TAKES_NO_TASKS);
 
+	private static final Optional<PlacementObstacle> STARTS_IN_FLIGHT = Optional.of(PlacementObstacle.STARTS_IN_FLIGHT);
+
 	private static final Optional<PlacementObstacle> KEPT_FOR_TRIAL = Optional.of(PlacementObstacle.KEPT_FOR_TRIAL);
 
 	private static final Optional<PlacementObstacle> HEADROOM = Optional.of(PlacementObstacle.HEADROOM);
@@ -166,6 +168,9 @@
 		if (!worker.acceptsTasks(now)) {
 			return TAKES_NO_TASKS;
 		}
+		if (worker.startsInFlight >= Worker.MAX_STARTS_IN_FLIGHT) {
+			return STARTS_IN_FLIGHT;
+		}
 		if (!spec.reserved().fitsWithin(worker.free())) {
 			return NO_CAPACITY;
 		}
