Keep only the states of ended jobs, and delete them faster

Cause: ten ended jobs were deleted each 5 s while more ended; a leader kept submission, steps and tasks of each; a successor read all items before it decoded any, and decoded the submissions of ended jobs as well.

Nobody writes progress or deletes jobs but the leader that reads them, so the order of the two reads does not matter. The intake's watch keeps no keys, as nothing depends on deletions there.

--- a/control/src/main/java/io/lentilstream/control/store/PrefixWatcher.java
+++ b/control/src/main/java/io/lentilstream/control/store/PrefixWatcher.java
@@ -71,16 +71,19 @@
 	 * Starts by reading all items.
 	 */
 	public void start() {
+		if (this.options.catchUp() == CatchUp.ADDED_ITEMS) {
+			RangeReader.readPages(this.store, this.prefix, this::pageFailed, this::pageRead, this::pagesRead);
+			return;
+		}
 		RangeReader.readAll(this.store, this.prefix, this::pageFailed, this::rangeRead);
 	}
 
 	/**
-	 * Starts after a revision at which all items are already known.
-	 * @param keys the keys of the items at that revision
+	 * Starts after a revision at which all items are already known. Only for items whose
+	 * deletion does not matter.
 	 * @param afterRevision the revision
 	 */
-	public void startAfter(Set<String> keys, long afterRevision) {
-		this.knownKeys = keys;
+	public void startAfter(long afterRevision) {
 		this.revision = afterRevision;
 		watch();
 	}
@@ -121,6 +124,20 @@
 		});
 	}
 
+	private void pageRead(List<StoredItem> items, Runnable next) {
+		if (this.stopped) {
+			return;
+		}
+		markReachable();
+		deliver(items);
+		next.run();
+	}
+
+	private void pagesRead(long firstRevision) {
+		this.revision = firstRevision;
+		watch();
+	}
+
 	private void rangeRead(MetadataStore.Page page) {
 		if (this.stopped) {
 			return;
@@ -174,13 +191,8 @@
 		}
 		markReachable();
 		this.revision = Math.max(this.revision, page.value().asOfRevision());
-		for (StoredItem item : page.value().items()) {
-			if (item.exists()) {
-				this.knownKeys.add(item.key());
-			}
-			else {
-				this.knownKeys.remove(item.key());
-			}
+		if (this.options.catchUp() != CatchUp.ADDED_ITEMS) {
+			updateKnownKeys(page.value().items());
 		}
 		deliver(page.value().items());
 		if (hasOutdatedItems(page.value().items())) {
@@ -190,6 +202,17 @@
 		this.loop.schedule(page.value().items().isEmpty() ? 0 : this.options.pauseMillis(), this::watch);
 	}
 
+	private void updateKnownKeys(List<StoredItem> items) {
+		for (StoredItem item : items) {
+			if (item.exists()) {
+				this.knownKeys.add(item.key());
+			}
+			else {
+				this.knownKeys.remove(item.key());
+			}
+		}
+	}
+
 	// Changes that come faster than this machine receives them would delay each other.
 	private boolean hasOutdatedItems(List<StoredItem> items) {
 		return this.options.catchUp() == CatchUp.CURRENT_ITEMS
@@ -244,6 +267,12 @@
 		/** All changes since the last successful poll, in order. */
 		CHANGES,
 
+		/**
+		 * The same, of many items whose deletion does not matter: their keys are not
+		 * kept, and they are delivered page by page.
+		 */
+		ADDED_ITEMS,
+
 		/**
 		 * All current items. For few large items that change often, of which only the
 		 * latest value matters.
--- a/control/src/main/java/io/lentilstream/control/store/RangeReader.java
+++ b/control/src/main/java/io/lentilstream/control/store/RangeReader.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 
 /**
  * Reads all items whose keys start with a prefix, page by page.
@@ -13,19 +14,20 @@
 
 	private final String prefix;
 
-	private final List<StoredItem> items = new ArrayList<>();
-
 	private long firstRevision = -1;
 
 	private final FailureHandler failureHandler;
 
-	private final Consumer<MetadataStore.Page> completed;
+	private final PageConsumer pageConsumer;
 
-	private RangeReader(MetadataStore store, String prefix, FailureHandler failureHandler,
-			Consumer<MetadataStore.Page> completed) {
+	private final LongConsumer completed;
+
+	private RangeReader(MetadataStore store, String prefix, FailureHandler failureHandler, PageConsumer pageConsumer,
+			LongConsumer completed) {
 		this.store = store;
 		this.prefix = prefix;
 		this.failureHandler = failureHandler;
+		this.pageConsumer = pageConsumer;
 		this.completed = completed;
 	}
 
@@ -52,7 +54,26 @@
 	 */
 	public static void readAll(MetadataStore store, String prefix, FailureHandler failureHandler,
 			Consumer<MetadataStore.Page> completed) {
-		new RangeReader(store, prefix, failureHandler, completed).readPage("");
+		List<StoredItem> items = new ArrayList<>();
+		readPages(store, prefix, failureHandler, (page, next) -> {
+			items.addAll(page);
+			next.run();
+		}, (revision) -> completed.accept(new MetadataStore.Page(items, false, revision)));
+	}
+
+	/**
+	 * Reads all items whose keys start with a prefix without holding more than a page of
+	 * them, and lets the caller retry single pages.
+	 * @param store the store
+	 * @param prefix the prefix
+	 * @param failureHandler notified of each page that could not be read
+	 * @param pageConsumer receives each page
+	 * @param completed receives the revision of the first page, from which changes must
+	 * be watched
+	 */
+	public static void readPages(MetadataStore store, String prefix, FailureHandler failureHandler,
+			PageConsumer pageConsumer, LongConsumer completed) {
+		new RangeReader(store, prefix, failureHandler, pageConsumer, completed).readPage("");
 	}
 
 	private void readPage(String after) {
@@ -61,15 +82,20 @@
 				this.failureHandler.pageFailed(reply, () -> readPage(after));
 				return;
 			}
-			this.items.addAll(page.value().items());
 			if (this.firstRevision < 0) {
 				this.firstRevision = page.value().asOfRevision();
 			}
-			if (page.value().more() && !page.value().items().isEmpty()) {
-				readPage(this.items.get(this.items.size() - 1).key());
-				return;
-			}
-			this.completed.accept(new MetadataStore.Page(this.items, false, this.firstRevision));
+			List<StoredItem> items = page.value().items();
+			String last = items.isEmpty() ? "" : items.get(items.size() - 1).key();
+			boolean more = page.value().more() && !items.isEmpty();
+			this.pageConsumer.pageRead(items, () -> {
+				if (more) {
+					readPage(last);
+				}
+				else {
+					this.completed.accept(this.firstRevision);
+				}
+			});
 		});
 	}
 
@@ -88,4 +114,19 @@
 
 	}
 
+	/**
+	 * Receives the pages of a range, one after the other.
+	 */
+	@FunctionalInterface
+	public interface PageConsumer {
+
+		/**
+		 * Handles a page.
+		 * @param items the items
+		 * @param next reads the next page; to be run once, when this one has been handled
+		 */
+		void pageRead(List<StoredItem> items, Runnable next);
+
+	}
+
 }
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -8,6 +8,7 @@
 import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
+import java.util.function.LongConsumer;
 import java.util.function.LongSupplier;
 
 import io.lentilstream.control.EventLoop;
@@ -49,13 +50,19 @@
 
 	private static final long CLEANUP_INTERVAL_MILLIS = 5000;
 
+	/**
+	 * The same interval while more jobs are to be deleted than one commit can delete, in
+	 * milliseconds. Leaves most of the calls that the store allows to others.
+	 */
+	private static final long BACKLOG_CLEANUP_INTERVAL_MILLIS = 100;
+
 	private static final long RETRY_DELAY_MILLIS = 200;
 
 	/** Maximum number of jobs deleted in one commit; each has three items. */
 	private static final int JOBS_PER_CLEANUP = 10;
 
 	private static final PrefixWatcher.WatchOptions INTAKE_OPTIONS = new PrefixWatcher.WatchOptions(1000, 200,
-			PrefixWatcher.CatchUp.CHANGES);
+			PrefixWatcher.CatchUp.ADDED_ITEMS);
 
 	private static final PrefixWatcher.WatchOptions WORKER_LIST_OPTIONS = new PrefixWatcher.WatchOptions(1000, 250,
 			PrefixWatcher.CatchUp.CHANGES);
@@ -164,14 +171,15 @@
 	 */
 	public void start() {
 		InitialState initialState = new InitialState();
-		loadRange(JobKeys.INTAKE, initialState::intakeRead);
-		loadRange(JobKeys.PROGRESS, initialState::progressRead);
+		loadRange(JobKeys.INTAKE, initialState::intakePageRead, initialState::intakeRead);
+		loadRange(JobKeys.PROGRESS, initialState::progressPageRead, (revision) -> initialState.progressRead());
 		loadWorkers(initialState);
 		this.knowledge.read(initialState::knowledgeRead);
 	}
 
-	private void loadRange(String prefix, Consumer<MetadataStore.Page> loaded) {
-		RangeReader.readAll(this.store, prefix, (reply, retry) -> loadFailed(prefix, reply, retry), loaded);
+	private void loadRange(String prefix, RangeReader.PageConsumer pageConsumer, LongConsumer completed) {
+		RangeReader.readPages(this.store, prefix, (reply, retry) -> loadFailed(prefix, reply, retry), pageConsumer,
+				completed);
 	}
 
 	private void loadWorkers(InitialState initialState) {
@@ -323,19 +331,6 @@
 	}
 
 	private void startScheduling(InitialState initialState) {
-		Map<JobId, StoredItem> progress = new HashMap<>();
-		for (StoredItem item : initialState.progress.items()) {
-			JobKeys.parseJobId(JobKeys.PROGRESS, item.key()).ifPresent((job) -> progress.put(job, item));
-		}
-		Set<JobId> cancelled = new HashSet<>();
-		Set<String> keys = new HashSet<>();
-		for (StoredItem item : initialState.intake.items()) {
-			keys.add(item.key());
-			JobKeys.parseJobId(JobKeys.CANCELLATIONS, item.key()).ifPresent(cancelled::add);
-		}
-		for (StoredItem item : initialState.intake.items()) {
-			JobKeys.parseJobId(JobKeys.SUBMISSIONS, item.key()).ifPresent((job) -> load(job, item, progress.get(job)));
-		}
 		RegisteredWorkers registered = initialState.workers.exists()
 				? RegisteredWorkers.decode(initialState.workers.value(),
 						(ex) -> this.log.append("workers-unreadable", JobKeys.WORKERS, "error", ex))
@@ -347,13 +342,13 @@
 		if (!this.evacuatedZones.isEmpty()) {
 			this.scheduler.updateEvacuations(this.evacuatedZones);
 		}
-		cancelled.forEach(this::jobCancelled);
-		this.log.append("term-begun", this.fencingToken, "jobs", initialState.intake.items().size(), "workers",
-				registered.workers().size(), "leases-left-to-expire", registered.expiringLeases().size(),
+		initialState.cancelled.forEach(this::jobCancelled);
+		this.log.append("term-begun", this.fencingToken, "jobs", initialState.jobs, "ended", initialState.ended.size(),
+				"workers", registered.workers().size(), "leases-left-to-expire", registered.expiringLeases().size(),
 				"predecessor-lease-expired", this.predecessor.leaseExpired(), "failed-reads", this.failedReads,
 				"after-ms", this.loop.now() - this.startedAt);
 		this.scheduler.start(registered.workers(), this.predecessor);
-		this.intake.startAfter(keys, initialState.intake.asOfRevision());
+		this.intake.startAfter(initialState.intakeRevision);
 		this.workerList.start();
 		tickPeriodically();
 		checkPeriodically();
@@ -361,23 +356,6 @@
 		this.knowledge.storePeriodically();
 	}
 
-	private void load(JobId job, StoredItem submission, StoredItem progress) {
-		if (SubmissionTombstone.isTombstone(submission)) {
-			return;
-		}
-		try {
-			JobProgress known = null;
-			if (progress != null) {
-				known = ProgressCodec.decode(job, progress.value());
-				this.progressWriter.setRevision(job, progress.revision());
-			}
-			this.scheduler.load(SubmissionCodec.decode(job, submission.value()), Optional.ofNullable(known));
-		}
-		catch (DecodeException ex) {
-			this.log.append("job-unreadable", job, "error", ex);
-		}
-	}
-
 	private void tickSoon() {
 		if (!this.tickDue && !this.stopped) {
 			this.tickDue = true;
@@ -419,10 +397,11 @@
 		if (this.stopped) {
 			return;
 		}
-		this.loop.schedule(CLEANUP_INTERVAL_MILLIS, this::deleteEndedJobs);
 		deleteEarlyCancellations();
-		List<JobId> endedJobs = this.scheduler.endedBefore(this.loop.wallClockMillis() - this.retentionMillis);
+		List<JobId> endedJobs = this.scheduler.endedBefore(this.loop.wallClockMillis() - this.retentionMillis,
+				JOBS_PER_CLEANUP + 1);
 		if (endedJobs.isEmpty()) {
+			this.loop.schedule(CLEANUP_INTERVAL_MILLIS, this::deleteEndedJobs);
 			return;
 		}
 		List<JobId> batch = endedJobs.subList(0, Math.min(JOBS_PER_CLEANUP, endedJobs.size()));
@@ -431,11 +410,15 @@
 			commit.delete(JobKeys.submission(job)).delete(JobKeys.cancellation(job)).delete(JobKeys.progress(job));
 		}
 		this.store.commit(commit, (reply) -> {
-			if (reply instanceof StoreReply.Ok<Long>) {
+			boolean deleted = reply instanceof StoreReply.Ok<Long>;
+			if (deleted) {
 				batch.forEach(this.scheduler::remove);
 				batch.forEach(this.progressWriter::removeRevision);
 				this.log.append("jobs-deleted", this.fencingToken, "count", batch.size());
 			}
+			boolean backlog = deleted && endedJobs.size() > batch.size();
+			this.loop.schedule(backlog ? BACKLOG_CLEANUP_INTERVAL_MILLIS : CLEANUP_INTERVAL_MILLIS,
+					this::deleteEndedJobs);
 		});
 	}
 
@@ -478,21 +461,95 @@
 	 */
 	private final class InitialState {
 
-		private MetadataStore.Page intake;
+		/** The progress of the jobs that have not ended. */
+		private final Map<JobId, JobProgress> progress = new HashMap<>();
+
+		/** The jobs that have ended, or whose progress cannot be read. */
+		private final Set<JobId> ended = new HashSet<>();
+
+		private final Set<JobId> cancelled = new HashSet<>();
+
+		private int jobs;
+
+		private boolean progressRead;
+
+		private Runnable deferredIntakePage;
 
-		private MetadataStore.Page progress;
+		private long intakeRevision = -1;
 
 		private StoredItem workers;
 
 		private boolean knowledgeRead;
 
-		void intakeRead(MetadataStore.Page page) {
-			this.intake = page;
+		// A submission is decoded only if its job has not ended.
+		void intakePageRead(List<StoredItem> items, Runnable next) {
+			if (Term.this.stopped) {
+				return;
+			}
+			if (!this.progressRead) {
+				this.deferredIntakePage = () -> intakePageRead(items, next);
+				return;
+			}
+			for (StoredItem item : items) {
+				JobKeys.parseJobId(JobKeys.CANCELLATIONS, item.key())
+					.filter((job) -> !this.ended.contains(job))
+					.ifPresent(this.cancelled::add);
+				JobKeys.parseJobId(JobKeys.SUBMISSIONS, item.key()).ifPresent((job) -> load(job, item));
+			}
+			next.run();
+		}
+
+		private void load(JobId job, StoredItem submission) {
+			this.jobs++;
+			if (SubmissionTombstone.isTombstone(submission) || this.ended.contains(job)) {
+				return;
+			}
+			try {
+				Term.this.scheduler.load(SubmissionCodec.decode(job, submission.value()),
+						Optional.ofNullable(this.progress.remove(job)));
+			}
+			catch (DecodeException ex) {
+				Term.this.log.append("job-unreadable", job, "error", ex);
+			}
+		}
+
+		void intakeRead(long revision) {
+			this.intakeRevision = revision;
 			startIfComplete();
 		}
 
-		void progressRead(MetadataStore.Page page) {
-			this.progress = page;
+		void progressPageRead(List<StoredItem> items, Runnable next) {
+			if (Term.this.stopped) {
+				return;
+			}
+			for (StoredItem item : items) {
+				JobKeys.parseJobId(JobKeys.PROGRESS, item.key()).ifPresent((job) -> restore(job, item));
+			}
+			next.run();
+		}
+
+		private void restore(JobId job, StoredItem item) {
+			try {
+				JobProgress stored = ProgressCodec.decode(job, item.value());
+				if (stored.state().ended()) {
+					this.ended.add(job);
+					Term.this.scheduler.loadEnded(job, stored.state(), stored.endedAtMillis());
+					return;
+				}
+				this.progress.put(job, stored);
+				Term.this.progressWriter.setRevision(job, item.revision());
+			}
+			catch (DecodeException ex) {
+				this.ended.add(job);
+				Term.this.log.append("job-unreadable", job, "error", ex);
+			}
+		}
+
+		void progressRead() {
+			this.progressRead = true;
+			if (this.deferredIntakePage != null) {
+				this.deferredIntakePage.run();
+			}
 			startIfComplete();
 		}
 
@@ -510,7 +567,7 @@
 			if (Term.this.stopped) {
 				return;
 			}
-			if (this.intake != null && this.progress != null && this.workers != null && this.knowledgeRead) {
+			if (this.intakeRevision >= 0 && this.progressRead && this.workers != null && this.knowledgeRead) {
 				startScheduling(this);
 			}
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -32,8 +32,7 @@
 	final long knownSince;
 
 	/**
-	 * When this scheduler ended the job, or received it if it had ended before, in
-	 * milliseconds on the monotonic clock.
+	 * When this scheduler ended the job, in milliseconds on the monotonic clock.
 	 */
 	long endedAt;
 
@@ -43,9 +42,6 @@
 	/** Whether the job was accepted before this scheduler took over. */
 	boolean loadedAtTakeover;
 
-	/** Whether the job had ended before this scheduler took over. */
-	boolean endedBeforeTakeover;
-
 	/**
 	 * The number of occurrences whose tasks may have been started according to stored
 	 * progress. The first task of an occurrence starts only after this is stored, so a
@@ -161,9 +157,6 @@
 	 * @return {@code false} if all runs are known
 	 */
 	boolean mayHaveUnreportedRuns() {
-		if (this.endedBeforeTakeover) {
-			return this.state != JobState.COMPLETED;
-		}
 		return this.loadedAtTakeover && this.occurrences.values()
 			.stream()
 			.flatMap(List::stream)
@@ -171,6 +164,10 @@
 					|| step.tasks().stream().anyMatch((task) -> task.possiblyRunning));
 	}
 
+	boolean hasNoRuns() {
+		return this.occurrences.values().stream().flatMap(List::stream).allMatch((step) -> step.runs == 0);
+	}
+
 	List<StepState> createOccurrence(int occurrence) {
 		List<StepState> steps = new ArrayList<>();
 		for (int number = 0; number < this.submission.steps().size(); number++) {
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -71,6 +71,8 @@
 
 	private final StopGuarantee stopGuarantee;
 
+	private final EndedJobs endedJobs;
+
 	/**
 	 * Creates a scheduler without jobs and VMs.
 	 * @param settings the limits set by the platform
@@ -86,7 +88,8 @@
 		this.takeover = new TakeoverTracker(this.state);
 		this.expiringLeases = new ExpiringLeases(this.state, this.takeover);
 		this.workerConditions = new WorkerConditions(this.state);
-		this.stopGuarantee = new StopGuarantee(this.state, this.takeover);
+		this.endedJobs = new EndedJobs(this.state, this.takeover);
+		this.stopGuarantee = new StopGuarantee(this.state, this.takeover, this.endedJobs);
 		this.zoneEvacuation = new ZoneEvacuation(log);
 		this.runStopper = new RunStopper(this.state);
 		this.adoptedRunReview = new AdoptedRunReview(this.takeover, this.runStopper);
@@ -124,18 +127,29 @@
 	 */
 	public void load(JobSubmission submission, Optional<JobProgress> progress) {
 		long now = this.state.now();
+		if (progress.isPresent() && progress.get().state().ended()) {
+			loadEnded(submission.id(), progress.get().state(), progress.get().endedAtMillis());
+			return;
+		}
 		Job job = new Job(submission, now, this.state.runTimes.predictor());
 		job.loadedAtTakeover = true;
 		this.state.jobs.put(job.id(), job);
 		progress.ifPresent((stored) -> restoreProgress(job, stored));
-		if (!job.active()) {
-			job.endedBeforeTakeover = true;
-			return;
-		}
 		this.progression.startDueOccurrences(job, now);
 		progress.ifPresent((stored) -> restoreOccurrences(job, stored.startableOccurrences(), now));
 	}
 
+	/**
+	 * Loads a stored job that has ended during the takeover. Must be called before
+	 * {@link #start}.
+	 * @param id the job
+	 * @param finalState the state
+	 * @param endedAtMillis when the job ended, in milliseconds since 1970
+	 */
+	public void loadEnded(JobId id, JobState finalState, long endedAtMillis) {
+		this.endedJobs.load(id, finalState, endedAtMillis, this.state.now());
+	}
+
 	private void restoreOccurrences(Job job, int startable, long now) {
 		boolean known = startable != JobProgress.UNKNOWN_OCCURRENCES;
 		job.recordedOccurrences = known ? startable : job.nextOccurrence;
@@ -297,7 +311,7 @@
 	 * @param submission the job
 	 */
 	public void submit(JobSubmission submission) {
-		if (this.state.jobs.containsKey(submission.id())) {
+		if (this.state.jobs.containsKey(submission.id()) || this.endedJobs.find(submission.id()) != null) {
 			return;
 		}
 		long now = this.state.now();
@@ -336,6 +350,7 @@
 	public void remove(JobId id) {
 		this.state.suspects.removeIf((task) -> task.job.id().equals(id));
 		this.state.jobs.remove(id);
+		this.endedJobs.remove(id);
 	}
 
 	/**
@@ -450,6 +465,7 @@
 				this.progression.startDueOccurrences(job, now);
 			}
 		}
+		this.endedJobs.discardTasks(now);
 		this.state.taskFeeder.countTasks();
 		this.headroom.updatePeak();
 		this.utilization.update(now);
@@ -591,7 +607,7 @@
 	public Optional<JobState> state(JobId id) {
 		Job job = this.state.jobs.get(id);
 		if (job == null) {
-			return Optional.empty();
+			return Optional.ofNullable(this.endedJobs.find(id)).map((ended) -> ended.state);
 		}
 		return Optional.of(job.storedState.ended() ? job.storedState : visibleState(job));
 	}
@@ -616,16 +632,14 @@
 	}
 
 	/**
-	 * Returns the jobs that ended before a time and whose end is stored.
+	 * Returns jobs that ended before a time, whose end is stored and of which nothing
+	 * runs any more.
 	 * @param before the time in milliseconds since 1970
+	 * @param maxJobs the maximum number of jobs
 	 * @return the ids
 	 */
-	public List<JobId> endedBefore(long before) {
-		return this.state.jobs.values()
-			.stream()
-			.filter((job) -> job.storedState.ended() && job.endedAtMillis < before)
-			.map(Job::id)
-			.toList();
+	public List<JobId> endedBefore(long before, int maxJobs) {
+		return this.endedJobs.endedBefore(before, maxJobs);
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StopGuarantee.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StopGuarantee.java
@@ -24,11 +24,16 @@
 	 */
 	private static final long LOGGED_AGE_MILLIS = 500;
 
+	private static final String NOT_REPORTED = "VM has not reported since the takeover";
+
 	private final SchedulerState state;
 
 	private final TakeoverTracker takeover;
 
-	StopGuarantee(SchedulerState state, TakeoverTracker takeover) {
+	private final EndedJobs endedJobs;
+
+	StopGuarantee(SchedulerState state, TakeoverTracker takeover, EndedJobs endedJobs) {
+		this.endedJobs = endedJobs;
 		this.state = state;
 		this.takeover = takeover;
 	}
@@ -42,18 +47,23 @@
 	 */
 	boolean holds(JobId id, long now) {
 		Job job = this.state.jobs.get(id);
-		if (job == null) {
-			// All stored jobs are loaded, so no leader has started a task of this one.
-			return true;
-		}
-		if (job.active()) {
-			return false;
+		if (job != null) {
+			return !job.active() && holds(job, now);
 		}
+		EndedJob ended = this.endedJobs.find(id);
+		// All stored jobs are loaded, so no leader has started a task of an unknown one.
+		return ended == null || holds(id, ended, now);
+	}
+
+	private boolean holds(Job job, long now) {
 		boolean unreportedRuns = job.mayHaveUnreportedRuns();
 		for (Worker worker : this.state.workers.values()) {
 			Optional<String> risk = findRisk(job, worker, unreportedRuns);
 			if (risk.isPresent() && !lapsesInTime(worker, now)) {
-				logOnce(job, worker, risk.get(), now);
+				if (!job.missingStopLogged && now - job.endedAt >= LOGGED_AGE_MILLIS) {
+					job.missingStopLogged = true;
+					log(job.id(), worker, risk.get(), now - job.endedAt, now);
+				}
 				return false;
 			}
 			worker.leaseEndGuaranteed |= risk.isPresent();
@@ -61,13 +71,32 @@
 		return true;
 	}
 
+	private boolean holds(JobId id, EndedJob job, long now) {
+		for (Worker worker : this.state.workers.values()) {
+			Optional<String> risk = findRisk(job, worker);
+			if (risk.isPresent() && !lapsesInTime(worker, now)) {
+				if (!job.missingStopLogged && now - job.endedAt >= LOGGED_AGE_MILLIS) {
+					job.missingStopLogged = true;
+					log(id, worker, risk.get(), now - job.endedAt, now);
+				}
+				return false;
+			}
+			worker.leaseEndGuaranteed |= risk.isPresent();
+		}
+		return true;
+	}
+
+	private Optional<String> findRisk(EndedJob job, Worker worker) {
+		if (job.mayHaveUnreportedRuns && awaitsFirstReport(worker)) {
+			return Optional.of(NOT_REPORTED);
+		}
+		// Runs of jobs that have ended earlier are unknown to this scheduler.
+		return worker.hasUnknownRuns ? Optional.of("VM has unknown runs") : Optional.empty();
+	}
+
 	private Optional<String> findRisk(Job job, Worker worker, boolean unreportedRuns) {
 		if (unreportedRuns && awaitsFirstReport(worker)) {
-			return Optional.of("VM has not reported since the takeover");
-		}
-		// Runs of jobs that the predecessor ended are unknown to this scheduler.
-		if (job.endedBeforeTakeover && worker.hasUnknownRuns) {
-			return Optional.of("VM has unknown runs");
+			return Optional.of(NOT_REPORTED);
 		}
 		return worker.runs.values()
 			.stream()
@@ -88,14 +117,9 @@
 				&& worker.lease.remainingMillis(now) <= MAX_STOP_MILLIS;
 	}
 
-	private void logOnce(Job job, Worker worker, String risk, long now) {
-		if (job.missingStopLogged || now - job.endedAt < LOGGED_AGE_MILLIS) {
-			return;
-		}
-		job.missingStopLogged = true;
-		this.state.log.append("cancellation-pending", job.id(), "worker", worker, "reason", risk, "age-ms",
-				now - job.endedAt, "silent-ms", now - worker.lastReportAt, "lease-ms",
-				worker.lease.remainingMillis(now));
+	private void log(JobId job, Worker worker, String risk, long age, long now) {
+		this.state.log.append("cancellation-pending", job, "worker", worker, "reason", risk, "age-ms", age, "silent-ms",
+				now - worker.lastReportAt, "lease-ms", worker.lease.remainingMillis(now));
 	}
 
 }
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/SeededConfigurationTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/SeededConfigurationTests.java
@@ -194,7 +194,7 @@
 	}
 
 	private static void removeEnded(VirtualWorld world, Random random) {
-		List<JobId> ended = world.scheduler.endedBefore(world.clock.now() - random.nextInt(3000));
+		List<JobId> ended = world.scheduler.endedBefore(world.clock.now() - random.nextInt(3000), Integer.MAX_VALUE);
 		ended.forEach(world.scheduler::remove);
 	}
 
