Refuse jobs that a leader cannot hold before they are stored

60 accepted jobs of 1 MiB took a leader with a heap of 64 MiB out of memory, as did its successor.

Cause: each process stored what it was sent; nobody knew what the accepted jobs make a leader hold.

Change: a job has a cost in bytes. The leader counts what its jobs hold and shares out half of what is free with its answers to pings; for a job that exceeds the share of its process, it reserves room from the other half. Without room a job is answered 429 with Retry-After, or 413 if it could never be held; one that is stored already is looked up and answered 200. The figures of the cost come from a measurement (440 bytes for an idle task, 1,320 for a running one with its simulated VM, 1,630 for a job with one idle task, 153 for an ended job; serial collector, x86-64).

--- a/control/src/main/java/io/lentilstream/control/ControlNode.java
+++ b/control/src/main/java/io/lentilstream/control/ControlNode.java
@@ -10,12 +10,14 @@
 import io.netty.channel.EventLoopGroup;
 
 import io.lentilstream.control.api.Configuration;
+import io.lentilstream.control.api.JobAdmission;
 import io.lentilstream.control.api.JobService;
 import io.lentilstream.control.leadership.LeaderRecord;
 import io.lentilstream.control.leadership.Leadership;
 import io.lentilstream.control.limits.ClientLimits;
 import io.lentilstream.control.peers.FollowerRegistry;
 import io.lentilstream.control.peers.LeaderConnection;
+import io.lentilstream.control.peers.PeerFrame;
 import io.lentilstream.control.peers.PeerServer;
 import io.lentilstream.control.shutdown.GracefulShutdown;
 import io.lentilstream.control.store.PrefixWatcher;
@@ -57,6 +59,8 @@
 
 	private final PrefixWatcher configurationWatcher;
 
+	private final JobAdmission admission;
+
 	private final Function<StoredItem, Optional<Configuration>> decoder;
 
 	private final EvacuatedZones evacuatedZones;
@@ -96,8 +100,10 @@
 				settings.candidacyDelayMillis(), settings.leaseGraceMillis());
 		this.leadership = new Leadership(dependencies.loop(), dependencies.store(), dependencies.log(), random,
 				candidate, new TermStarter());
+		this.admission = new JobAdmission(this.leaderConnection, () -> Optional.ofNullable(this.term),
+				this.followers::count, settings.scheduling().maxAcceptedBytes());
 		this.service = new JobService(dependencies, this.leaderConnection, () -> Optional.ofNullable(this.term),
-				this::lastStoreReplyAt);
+				this::lastStoreReplyAt, this.admission);
 		this.peerServer = new PeerServer(this.service::handleFrame, this.followers);
 		this.configurationWatcher = new PrefixWatcher(dependencies.loop(), dependencies.store(), dependencies.log(),
 				source.prefix(), new PrefixWatcher.WatchOptions(1000, 0, PrefixWatcher.CatchUp.CURRENT_ITEMS),
@@ -263,8 +269,9 @@
 		}
 
 		@Override
-		public void leaderAnswered() {
+		public void leaderAnswered(PeerFrame pong) {
 			ControlNode.this.leadership.leaderAnswered();
+			ControlNode.this.admission.leaderAnswered(pong);
 		}
 
 		@Override
--- a/control/src/main/java/io/lentilstream/control/api/JobService.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobService.java
@@ -19,6 +19,7 @@
 import io.lentilstream.control.term.SubmissionTombstone;
 import io.lentilstream.control.term.Term;
 import io.lentilstream.jobs.DecisionLog;
+import io.lentilstream.jobs.JobCost;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
 import io.lentilstream.jobs.codec.DecodeException;
@@ -86,6 +87,8 @@
 
 	private final LongSupplier lastStoreReplyAt;
 
+	private final JobAdmission admission;
+
 	private final RetryAfterRule retryAfter = new RetryAfterRule();
 
 	/**
@@ -100,9 +103,11 @@
 	 * @param term returns the term of this process, or empty if it is not leader
 	 * @param lastStoreReplyAt returns the time of the last reply of the store, on the
 	 * steady clock in milliseconds
+	 * @param admission decides whether there is memory for a job
 	 */
 	public JobService(Term.Dependencies dependencies, LeaderConnection leaderConnection, Supplier<Optional<Term>> term,
-			LongSupplier lastStoreReplyAt) {
+			LongSupplier lastStoreReplyAt, JobAdmission admission) {
+		this.admission = admission;
 		this.lastStoreReplyAt = lastStoreReplyAt;
 		this.loop = dependencies.loop();
 		this.store = dependencies.store();
@@ -125,6 +130,45 @@
 			submitWithoutStore(submission, callback);
 			return;
 		}
+		if (mayBeStored(submission.id())) {
+			store(submission, startedAt, callback);
+			return;
+		}
+		if (this.admission.exceedsLimit(submission)) {
+			refuse(submission, SubmissionWriter.Outcome.TOO_LARGE, callback);
+			return;
+		}
+		this.admission.request(submission, (granted) -> {
+			if (!granted) {
+				refuse(submission, SubmissionWriter.Outcome.NO_CAPACITY, callback);
+				return;
+			}
+			store(submission, startedAt, (outcome) -> {
+				this.admission.submissionCompleted(submission);
+				callback.accept(outcome);
+			});
+		});
+	}
+
+	// A job that is stored already takes no further memory and must not be refused.
+	private boolean mayBeStored(JobId job) {
+		return storedRecently(job) || this.unresolved.containsKey(job) || this.submissionWriter.isPending(job);
+	}
+
+	// An earlier submission of the job may have been stored by another process.
+	private void refuse(JobSubmission submission, SubmissionWriter.Outcome outcome,
+			Consumer<SubmissionWriter.Outcome> callback) {
+		this.store.read(JobKeys.submission(submission.id()), (reply) -> {
+			boolean stored = reply instanceof StoreReply.Ok<StoredItem> item && item.value().exists()
+					&& !SubmissionTombstone.isTombstone(item.value());
+			SubmissionWriter.Outcome result = stored ? SubmissionWriter.Outcome.STORED : outcome;
+			this.log.append("job-refused", submission.id(), "queue", submission.queue(), "reason",
+					"accepted jobs take too much memory", "outcome", result, "cost-bytes", JobCost.bytes(submission));
+			callback.accept(result);
+		});
+	}
+
+	private void store(JobSubmission submission, long startedAt, Consumer<SubmissionWriter.Outcome> callback) {
 		this.submissionWriter.store(submission, (result) -> {
 			this.log.append("job-submitted", submission.id(), "queue", submission.queue(), "outcome", result, "took-ms",
 					this.loop.now() - startedAt);
@@ -152,6 +196,16 @@
 		});
 	}
 
+	/**
+	 * Returns when a caller whose job was refused for lack of memory should retry.
+	 * @param job the job
+	 * @param priority the priority of its queue
+	 * @return the delay in seconds
+	 */
+	public int retryAfterCapacitySeconds(JobId job, int priority) {
+		return this.retryAfter.secondsWithoutCapacity(priority, job);
+	}
+
 	/**
 	 * Returns when a caller whose job was refused should retry.
 	 * @param job the job
@@ -418,13 +472,19 @@
 			case ASK_PENDING -> ownTerm.flatMap((leading) -> leading.queuedJobs(frame.subject()))
 				.map((count) -> frame.reply(PeerFrame.Kind.PENDING, count))
 				.orElseGet(() -> frame.reply(PeerFrame.Kind.NOT_LEADING, 0));
-			case PING -> ownTerm.map((leading) -> frame.reply(PeerFrame.Kind.PONG, leading.leaseHeld() ? 1 : 0))
+			case PING -> ownTerm
+				.map((leading) -> frame.reply(PeerFrame.Kind.PONG, leading.leaseHeld() ? 1 : 0,
+						this.admission.shareOfEach(leading)))
 				.orElseGet(() -> frame.reply(PeerFrame.Kind.NOT_LEADING, 0));
 			case SUBMITTED -> {
 				ownTerm.ifPresent((leading) -> receiveSubmission(leading, frame));
 				yield null;
 			}
 			case CANCELLED -> receiveCancellation(ownTerm, frame);
+			case RESERVE -> ownTerm
+				.map((leading) -> frame.reply(PeerFrame.Kind.RESERVED,
+						leading.reserve(new JobId(frame.subject()), frame.number()) ? 1 : 0))
+				.orElseGet(() -> frame.reply(PeerFrame.Kind.NOT_LEADING, 0));
 			default -> null;
 		};
 	}
--- a/control/src/main/java/io/lentilstream/control/api/RetryAfterRule.java
+++ b/control/src/main/java/io/lentilstream/control/api/RetryAfterRule.java
@@ -14,6 +14,15 @@
 	/** Maximum expected outage on which the delay is based, in seconds. */
 	private static final int MAX_EXPECTED_SECONDS = 4;
 
+	/** The delay of urgent jobs that found no memory, in seconds. */
+	private static final int URGENT_SECONDS = 2;
+
+	/** The shortest delay of other jobs that found no memory, in seconds. */
+	private static final int LATER_SECONDS = 4;
+
+	/** Selects the bits of a hash code that are added to it, in seconds. */
+	private static final int LATER_SPREAD_MASK = 3;
+
 	private static final long SECOND_MILLIS = Duration.ofSeconds(1).toMillis();
 
 	/**
@@ -32,4 +41,15 @@
 		return (int) expectedSeconds + spread;
 	}
 
+	/**
+	 * Returns the delay after which a caller should retry whose job found no memory. Jobs
+	 * have to end first, so that the queues of most systems move in seconds.
+	 * @param priority the priority of the queue; 0 is the most urgent
+	 * @param job the job, whose hash code spreads the others
+	 * @return the delay in seconds
+	 */
+	int secondsWithoutCapacity(int priority, JobId job) {
+		return (priority > 0) ? LATER_SECONDS + (job.hashCode() & LATER_SPREAD_MASK) : URGENT_SECONDS;
+	}
+
 }
--- a/control/src/main/java/io/lentilstream/control/api/SubmissionWriter.java
+++ b/control/src/main/java/io/lentilstream/control/api/SubmissionWriter.java
@@ -77,6 +77,15 @@
 		refuseQueuedIfUnreachable();
 	}
 
+	/**
+	 * Tells whether a submission of a job is being stored.
+	 * @param job the job
+	 * @return {@code true} if it waits or is in flight
+	 */
+	boolean isPending(JobId job) {
+		return this.queue.containsKey(job) || this.jobCommitsInFlight.containsKey(job);
+	}
+
 	// Submissions queued behind commits without a reply were never sent, so refusing them
 	// is safe.
 	private void refuseQueuedIfUnreachable() {
@@ -191,7 +200,13 @@
 		CANCELLED,
 
 		/** The submission is larger than the store accepts. It is not stored. */
-		TOO_LARGE
+		TOO_LARGE,
+
+		/**
+		 * The accepted jobs leave no memory for the job. It is not stored and will not
+		 * be.
+		 */
+		NO_CAPACITY
 
 	}
 
--- a/control/src/main/java/io/lentilstream/control/peers/FollowerRegistry.java
+++ b/control/src/main/java/io/lentilstream/control/peers/FollowerRegistry.java
@@ -57,6 +57,14 @@
 		return successor.isPresent();
 	}
 
+	/**
+	 * Returns the number of followers that are connected.
+	 * @return the number
+	 */
+	public int count() {
+		return this.pings.size();
+	}
+
 	void received(Channel from, PeerFrame frame) {
 		if (frame.kind() != PeerFrame.Kind.PING) {
 			return;
--- a/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
+++ b/control/src/main/java/io/lentilstream/control/peers/LeaderConnection.java
@@ -144,6 +144,16 @@
 		request(PeerFrame.Kind.PING, "", this.listener.canLead() ? PeerFrame.CAN_LEAD : PeerFrame.CANNOT_LEAD, reply);
 	}
 
+	/**
+	 * Requests room for a job.
+	 * @param job the id of the job
+	 * @param bytes its cost in bytes
+	 * @param reply receives the reply, or empty if there is none in time
+	 */
+	public void reserve(String job, long bytes, Consumer<Optional<PeerFrame>> reply) {
+		request(PeerFrame.Kind.RESERVE, job, bytes, reply);
+	}
+
 	/**
 	 * Sends a frame that has no reply. It is dropped if there is no connection.
 	 * @param frame the frame
@@ -185,7 +195,7 @@
 			boolean alive = reply.filter((frame) -> frame.kind() == PeerFrame.Kind.PONG).isPresent();
 			this.unansweredPings = alive ? 0 : this.unansweredPings + 1;
 			if (alive) {
-				this.listener.leaderAnswered();
+				this.listener.leaderAnswered(reply.get());
 			}
 			if (alive && reply.get().number() == 0) {
 				// The leader's lease may have expired and another process been elected.
@@ -265,8 +275,9 @@
 
 		/**
 		 * Called when the leader has answered.
+		 * @param pong the answer
 		 */
-		default void leaderAnswered() {
+		default void leaderAnswered(PeerFrame pong) {
 		}
 
 		/**
--- a/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
+++ b/control/src/main/java/io/lentilstream/control/peers/PeerFrame.java
@@ -1,6 +1,7 @@
 package io.lentilstream.control.peers;
 
 import java.io.IOException;
+import java.util.OptionalLong;
 
 import org.msgpack.core.MessageBufferPacker;
 import org.msgpack.core.MessagePack;
@@ -47,6 +48,39 @@
 		return new PeerFrame(replyKind, this.callId, this.subject, value, NO_CONTENT);
 	}
 
+	/**
+	 * Creates a reply to this frame whose content is a number as well.
+	 * @param replyKind the kind of the reply
+	 * @param value the number of the reply
+	 * @param contentValue the number in the content
+	 * @return the reply
+	 */
+	public PeerFrame reply(Kind replyKind, long value, long contentValue) {
+		try (MessageBufferPacker packer = MessagePack.newDefaultBufferPacker()) {
+			packer.packLong(contentValue);
+			return new PeerFrame(replyKind, this.callId, this.subject, value, packer.toByteArray());
+		}
+		catch (IOException ex) {
+			throw new IllegalStateException("could not write to an in-memory buffer", ex);
+		}
+	}
+
+	/**
+	 * Returns the number in the content.
+	 * @return the number, or empty if the content is empty or something else
+	 */
+	public OptionalLong contentValue() {
+		if (this.content.length == 0) {
+			return OptionalLong.empty();
+		}
+		try (MessageUnpacker unpacker = MessagePack.newDefaultUnpacker(this.content)) {
+			return OptionalLong.of(unpacker.unpackLong());
+		}
+		catch (IOException | MessagePackException ex) {
+			return OptionalLong.empty();
+		}
+	}
+
 	PeerFrame withNumber(long value) {
 		return new PeerFrame(this.kind, this.callId, this.subject, value, this.content);
 	}
@@ -127,6 +161,8 @@
 
 		/**
 		 * Reply to a ping; its number is 0 if the lease of the leader may have expired.
+		 * Its content is the memory that the sender of the ping may accept jobs for, as a
+		 * MessagePack integer; leaders of earlier versions send none.
 		 */
 		PONG,
 
@@ -137,14 +173,23 @@
 		NOT_LEADING,
 
 		/** Reply whose number is 1 if the tasks of the cancelled job stop in time. */
-		CANCELLATION_STATUS;
+		CANCELLATION_STATUS,
+
+		/**
+		 * Requests room for a job of which the number is the cost in bytes; the reply is
+		 * {@link #RESERVED}. Only sent to leaders whose pongs have a content.
+		 */
+		RESERVE,
+
+		/** Reply whose number is 1 if the job may be stored. */
+		RESERVED;
 
 		/**
 		 * Tells whether the subject of a request of this kind is the id of a job.
 		 * @return {@code false} if it is something else
 		 */
 		public boolean aboutJob() {
-			return this == ASK_STATE || this == SUBMITTED || this == CANCELLED;
+			return this == ASK_STATE || this == SUBMITTED || this == CANCELLED || this == RESERVE;
 		}
 
 	}
--- a/control/src/main/java/io/lentilstream/control/term/Term.java
+++ b/control/src/main/java/io/lentilstream/control/term/Term.java
@@ -109,6 +109,8 @@
 
 	private final EarlyCancellations earlyCancellations;
 
+	private final JobReservations reservations = new JobReservations();
+
 	private int failedReads;
 
 	private boolean loaded;
@@ -236,6 +238,7 @@
 		if (!this.loaded || this.stopped) {
 			return;
 		}
+		this.reservations.remove(submission.id());
 		this.submissionGate.add(submission);
 		submitReleased();
 		tickSoon();
@@ -251,6 +254,40 @@
 		}
 	}
 
+	/**
+	 * Tells whether the stored jobs are loaded.
+	 * @return {@code false} if it is not known yet how much memory they take
+	 */
+	public boolean begun() {
+		return this.loaded && !this.stopped;
+	}
+
+	/**
+	 * Returns the memory that further jobs may take, that of reservations included.
+	 * @return the number of bytes; 0 if there is none or the jobs are not loaded
+	 */
+	public long freeJobBytes() {
+		return begun() ? this.scheduler.freeBytes() : 0;
+	}
+
+	/**
+	 * Reserves room for a job that is about to be stored. Half of the free memory is
+	 * never reserved, since it has been shared out.
+	 * @param job the job
+	 * @param bytes its cost in bytes
+	 * @return {@code false} if there is no room
+	 */
+	public boolean reserve(JobId job, long bytes) {
+		if (this.reservations.contains(job)) {
+			return true;
+		}
+		if (bytes < 0 || this.reservations.bytes(this.loop.now()) > freeJobBytes() / 2 - bytes) {
+			return false;
+		}
+		this.reservations.add(job, bytes, this.loop.now());
+		return true;
+	}
+
 	/**
 	 * Cancels a job whose cancellation is stored. Ignored before the stored jobs are
 	 * loaded; applied on submission if the job is not known yet.
--- a/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/JobServiceTests.java
@@ -42,7 +42,8 @@
 
 	private final JobService service = new JobService(new Term.Dependencies(this.loop, this.store, this.log),
 			new LeaderConnection(this.loop, this.group, this.log, () -> {
-			}), Optional::<Term>empty, () -> this.lastReplyAt);
+			}), Optional::<Term>empty, () -> this.lastReplyAt,
+			new JobAdmission(null, Optional::empty, () -> 0, Long.MAX_VALUE));
 
 	private final List<SubmissionWriter.Outcome> outcomes = new ArrayList<>();
 
--- a/control/src/test/java/io/lentilstream/control/api/LateSubmissionTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/LateSubmissionTests.java
@@ -45,7 +45,8 @@
 	private JobService service() {
 		return new JobService(new Term.Dependencies(this.loop, this.store, this.log),
 				new LeaderConnection(this.loop, this.group, this.log, () -> {
-				}), Optional::<Term>empty, this.loop::now);
+				}), Optional::<Term>empty, this.loop::now,
+				new JobAdmission(null, Optional::empty, () -> 0, Long.MAX_VALUE));
 	}
 
 	@AfterEach
--- a/control/src/test/java/io/lentilstream/control/term/EndedJobLoadTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/EndedJobLoadTests.java
@@ -3,10 +3,7 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
-import java.util.function.Consumer;
-import java.util.function.ToLongFunction;
 
 import org.junit.jupiter.api.Test;
 
@@ -16,15 +13,11 @@
 import io.lentilstream.control.store.MemoryStore;
 import io.lentilstream.control.store.StoreReply;
 import io.lentilstream.control.store.StoredItem;
-import io.lentilstream.jobs.CommandResult;
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
 import io.lentilstream.jobs.QueuePolicy;
 import io.lentilstream.jobs.StepSpec;
-import io.lentilstream.jobs.TaskName;
-import io.lentilstream.jobs.WorkerId;
-import io.lentilstream.jobs.WorkerListing;
 import io.lentilstream.jobs.codec.ProgressCodec;
 import io.lentilstream.jobs.codec.SubmissionCodec;
 import io.lentilstream.jobs.scheduling.SchedulerSettings;
@@ -130,7 +123,7 @@
 		this.term = new Term(
 				new Term.Dependencies(this.loop, this.store,
 						(decision, subject, inputs) -> this.log.add(decision + " " + Arrays.toString(inputs))),
-				new Leadership.LeaderTerm(1, token.get(0), () -> Long.MAX_VALUE, false), new NoWorkers(),
+				new Leadership.LeaderTerm(1, token.get(0), () -> Long.MAX_VALUE, false), new UnusedPlatform(),
 				new SchedulerSettings(6000, 3, 4000, 4000, 3000, Set.of()), RETENTION_MILLIS, (reason) -> {
 				}, () -> true, () -> 0);
 		this.term.start();
@@ -149,64 +142,4 @@
 		return new JobId("job-" + (10_000 + number));
 	}
 
-	/**
-	 * A platform without VMs.
-	 */
-	private static final class NoWorkers implements WorkerPlatform {
-
-		@Override
-		public CommandClient commandClient(ToLongFunction<WorkerId> fencingTokens) {
-			return new Unreachable();
-		}
-
-		@Override
-		public String workerListPrefix() {
-			return "servers/";
-		}
-
-		@Override
-		public Optional<WorkerListing> decode(StoredItem item) {
-			return Optional.empty();
-		}
-
-		@Override
-		public String workerIdOf(String key) {
-			return key;
-		}
-
-	}
-
-	/**
-	 * A client that is never called.
-	 */
-	private static final class Unreachable implements WorkerPlatform.CommandClient {
-
-		@Override
-		public void start(WorkerListing worker, StartCommand command, Consumer<CommandResult> callback) {
-			throw new IllegalStateException("there are no VMs");
-		}
-
-		@Override
-		public void stop(WorkerListing worker, TaskName task, int run, Consumer<CommandResult> callback) {
-			throw new IllegalStateException("there are no VMs");
-		}
-
-		@Override
-		public void setSpeed(WorkerListing worker, TaskName task, int run, int percent,
-				Consumer<CommandResult> callback) {
-			throw new IllegalStateException("there are no VMs");
-		}
-
-		@Override
-		public void requestReport(WorkerListing worker, ReportRequest request, Consumer<ReportResult> callback) {
-			throw new IllegalStateException("there are no VMs");
-		}
-
-		@Override
-		public void close() {
-			// There are no connections.
-		}
-
-	}
-
 }
--- a/control/src/test/java/io/lentilstream/control/term/SeededTermTests.java
+++ b/control/src/test/java/io/lentilstream/control/term/SeededTermTests.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.provider.ValueSource;
 
 import io.lentilstream.control.ManualEventLoop;
+import io.lentilstream.control.api.JobAdmission;
 import io.lentilstream.control.api.JobService;
 import io.lentilstream.control.leadership.LeaderRecord;
 import io.lentilstream.control.leadership.Leadership;
@@ -270,7 +271,8 @@
 						this);
 				this.service = new JobService(this.dependencies,
 						new LeaderConnection(world.loop, GROUP, this.dependencies.log(), () -> {
-						}), () -> Optional.ofNullable(this.term), () -> world.loop.now() - 10);
+						}), () -> Optional.ofNullable(this.term), () -> world.loop.now() - 10,
+						new JobAdmission(null, Optional::empty, () -> 0, Long.MAX_VALUE));
 			}
 
 			@Override
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.TreeMap;
 
+import io.lentilstream.jobs.JobCost;
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
@@ -76,6 +77,10 @@
 
 	private final RunTimePredictor runTimes;
 
+	private final long estimatedBytes;
+
+	private final long payloadBytes;
+
 	/** The critical path as predicted when the job became known, in milliseconds. */
 	final long firstPredictionMillis;
 
@@ -87,6 +92,8 @@
 
 	Job(JobSubmission submission, long now, RunTimePredictor runTimes) {
 		this.submission = submission;
+		this.estimatedBytes = JobCost.bytes(submission);
+		this.payloadBytes = (long) Character.BYTES * submission.payload().length();
 		this.policy = submission.policy();
 		this.knownSince = now;
 		this.endedAt = now;
@@ -164,6 +171,17 @@
 					|| step.tasks().stream().anyMatch((task) -> task.possiblyRunning));
 	}
 
+	/**
+	 * Returns the memory that the job takes, or may take at any time.
+	 * @return the number of bytes
+	 */
+	long memoryBytes() {
+		int steps = this.occurrences.size() * this.submission.steps().size();
+		long current = this.payloadBytes
+				+ JobCost.currentBytes(steps, createdTasks(), this.completedOccurrences.size());
+		return active() ? Math.max(this.estimatedBytes, current) : current;
+	}
+
 	boolean hasNoRuns() {
 		return this.occurrences.values().stream().flatMap(List::stream).allMatch((step) -> step.runs == 0);
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/JobScheduler.java
@@ -73,6 +73,8 @@
 
 	private final EndedJobs endedJobs;
 
+	private final JobMemory memory;
+
 	/**
 	 * Creates a scheduler without jobs and VMs.
 	 * @param settings the limits set by the platform
@@ -89,6 +91,7 @@
 		this.expiringLeases = new ExpiringLeases(this.state, this.takeover);
 		this.workerConditions = new WorkerConditions(this.state);
 		this.endedJobs = new EndedJobs(this.state, this.takeover);
+		this.memory = new JobMemory(this.state, this.endedJobs);
 		this.stopGuarantee = new StopGuarantee(this.state, this.takeover, this.endedJobs);
 		this.zoneEvacuation = new ZoneEvacuation(log);
 		this.runStopper = new RunStopper(this.state);
@@ -115,7 +118,7 @@
 				workerSelector, reliability);
 		this.evacuator = new DrainingEvacuator(this.state, this.runStopper, workerSelector);
 		this.pausedRunMover = new PausedRunMover(this.state, this.runStopper, workerSelector);
-		this.loadLogger = new LoadLogger(this.state, timeOfDay, workerSelector);
+		this.loadLogger = new LoadLogger(this.state, timeOfDay, workerSelector, this.memory);
 		this.placementPass = new PlacementPass(this.state, workerSelector, runStarter, suspectStarter,
 				new PlaceWaitTracker(this.state, workerSelector, this.state.runTimes.predictor()));
 	}
@@ -303,6 +306,7 @@
 				this.state.workers.put(listing.id(), worker);
 			}
 		}
+		this.memory.update();
 		tick();
 	}
 
@@ -320,6 +324,7 @@
 		this.state.log.append("job-learnt", job.id(), "queue", submission.queue(), "steps", submission.steps().size(),
 				"waiting", this.state.waiting.size());
 		this.progression.startDueOccurrences(job, now);
+		this.memory.jobAdded(job);
 	}
 
 	/**
@@ -466,6 +471,7 @@
 			}
 		}
 		this.endedJobs.discardTasks(now);
+		this.memory.update();
 		this.state.taskFeeder.countTasks();
 		this.headroom.updatePeak();
 		this.utilization.update(now);
@@ -631,6 +637,14 @@
 		return count;
 	}
 
+	/**
+	 * Returns the memory that further jobs may take.
+	 * @return the number of bytes; 0 if there is none
+	 */
+	public long freeBytes() {
+		return this.memory.freeBytes();
+	}
+
 	/**
 	 * Returns jobs that ended before a time, whose end is stored and of which nothing
 	 * runs any more.
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/LoadLogger.java
@@ -10,15 +10,20 @@
 
 	private static final long PERIOD_MILLIS = 1000;
 
+	private static final long KIB = 1024;
+
 	private final SchedulerState state;
 
 	private final RoomLogger roomLogger;
 
 	private final WaitReasonLogger waitReasonLogger;
 
+	private final JobMemory memory;
+
 	private long nextAt = Long.MIN_VALUE;
 
-	LoadLogger(SchedulerState state, LongSupplier timeOfDay, WorkerSelector workerSelector) {
+	LoadLogger(SchedulerState state, LongSupplier timeOfDay, WorkerSelector workerSelector, JobMemory memory) {
+		this.memory = memory;
 		this.state = state;
 		this.waitReasonLogger = new WaitReasonLogger(state, workerSelector);
 		this.roomLogger = new RoomLogger(state, new JobTimesLogger(state, timeOfDay));
@@ -59,6 +64,8 @@
 			bestEffortWaiting += task.spec().traits().bestEffort() ? size : 0;
 			othersWaiting += task.spec().traits().bestEffort() ? 0 : size;
 		}
+		this.state.log.append("job-memory", "jobs", "known", this.state.jobs.size(), "used-kb",
+				this.memory.usedBytes() / KIB, "free-kb", this.memory.freeBytes() / KIB);
 		this.state.log.append("load", "workers", "usable", usable, "known", this.state.workers.size(),
 				"capacity-mcores", capacity, "serving-mcores", serving, "plain-mcores", regular, "filling-mcores",
 				bestEffort, "tasks-not-created", this.state.taskFeeder.uncreatedTasks(), "paced-mcores", throttled,
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
@@ -2,6 +2,8 @@
 
 import java.util.Set;
 
+import io.lentilstream.jobs.JobCost;
+
 /**
  * The limits that the platform sets for commands to VMs.
  *
@@ -13,13 +15,19 @@
  * @param unlistedAfterMillis the time without heartbeats after which a VM is removed from
  * the list, in milliseconds
  * @param features the optional features that are enabled
- * @param maxTasks the number of tasks from which each step has only a few at a time
+ * @param maxJobBytes the memory that all jobs together may take in a leader, in bytes
  */
 public record SchedulerSettings(long maxLeaseMillis, double remoteFactor, long maxOverTargetMillis,
-		long predecessorLeadershipMillis, long unlistedAfterMillis, Set<SchedulerFeature> features, int maxTasks) {
+		long predecessorLeadershipMillis, long unlistedAfterMillis, Set<SchedulerFeature> features, long maxJobBytes) {
+
+	/** The limit on the memory of jobs if none is given, in bytes. */
+	private static final long DEFAULT_MAX_JOB_BYTES = 38L << 20;
 
-	/** The limit on tasks if none is given. */
-	private static final int DEFAULT_MAX_TASKS = 10_000;
+	/**
+	 * The share of the memory that jobs are accepted for. The rest is for tasks that are
+	 * created as long as there are few.
+	 */
+	private static final double ACCEPTED_SHARE = 0.6;
 
 	/**
 	 * How long the leases of VMs may outlast the leadership under which they were
@@ -29,7 +37,7 @@
 	private static final long MAX_LEASE_AFTER_LEADERSHIP_MILLIS = 4500;
 
 	/**
-	 * Creates settings with the default limit on tasks.
+	 * Creates settings with the default limit on the memory of jobs.
 	 * @param maxLeaseMillis the longest lease that a VM grants, in milliseconds
 	 * @param remoteFactor the factor by which a task takes longer away from its data
 	 * @param maxOverTargetMillis how long a serving task may miss its target, in
@@ -43,7 +51,7 @@
 	public SchedulerSettings(long maxLeaseMillis, double remoteFactor, long maxOverTargetMillis,
 			long predecessorLeadershipMillis, long unlistedAfterMillis, Set<SchedulerFeature> features) {
 		this(maxLeaseMillis, remoteFactor, maxOverTargetMillis, predecessorLeadershipMillis, unlistedAfterMillis,
-				features, DEFAULT_MAX_TASKS);
+				features, DEFAULT_MAX_JOB_BYTES);
 	}
 
 	/**
@@ -64,6 +72,22 @@
 		return leaseMillis * 21 / 20;
 	}
 
+	/**
+	 * Returns the memory for which jobs are accepted.
+	 * @return the number of bytes
+	 */
+	public long maxAcceptedBytes() {
+		return (long) (ACCEPTED_SHARE * this.maxJobBytes);
+	}
+
+	/**
+	 * Returns the number of tasks from which each step has only a few at a time.
+	 * @return the number
+	 */
+	int maxTasks() {
+		return (int) Math.min(Integer.MAX_VALUE, (this.maxJobBytes - maxAcceptedBytes()) / JobCost.TASK_BYTES);
+	}
+
 	/**
 	 * Tells whether a feature is enabled.
 	 * @param feature the feature
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TaskFeeder.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TaskFeeder.java
@@ -4,6 +4,8 @@
 import java.util.LinkedHashSet;
 import java.util.Set;
 
+import io.lentilstream.jobs.JobCost;
+
 /**
  * Creates the tasks of released steps. Steps create more tasks as earlier ones start, so
  * that waiting tasks cost a leader nothing. While there are many tasks in all, each step
@@ -14,9 +16,6 @@
 	/** The number of tasks of a step that wait for their start at a time. */
 	static final int MAX_IDLE_TASKS = 256;
 
-	/** The number of tasks that a step may always have. */
-	static final int MIN_TASKS = 8;
-
 	private final SchedulerState state;
 
 	/** The released steps that have not created all tasks. */
@@ -73,7 +72,8 @@
 		if (step.idleTasks() >= MAX_IDLE_TASKS) {
 			return false;
 		}
-		return this.tasks < this.state.settings.maxTasks() || step.idleTasks() + step.tasksWithRuns < MIN_TASKS;
+		return this.tasks < this.state.settings.maxTasks()
+				|| step.idleTasks() + step.tasksWithRuns < JobCost.MIN_TASKS_PER_STEP;
 	}
 
 	/**
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/VirtualWorld.java
@@ -257,7 +257,7 @@
 	private SchedulerSettings settings() {
 		return new SchedulerSettings(this.settings.maxLeaseMillis(), this.settings.remoteFactor(),
 				this.settings.maxOverTargetMillis(), this.settings.predecessorLeadershipMillis(),
-				this.settings.unlistedAfterMillis(), this.features, this.settings.maxTasks());
+				this.settings.unlistedAfterMillis(), this.features, this.settings.maxJobBytes());
 	}
 
 	private LeadershipLease leadershipLease(int schedulerTerm, CommandFence fence) {
--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/WideStepTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/WideStepTests.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+import io.lentilstream.jobs.JobCost;
 import io.lentilstream.jobs.JobProgress;
 import io.lentilstream.jobs.JobState;
 import io.lentilstream.jobs.JobSubmission;
@@ -36,12 +37,12 @@
 		this.world.clock.runFor(3000);
 		SchedulerState state = this.world.scheduler.state;
 		assertThat(state.jobs.values().stream().mapToInt(Job::createdTasks).sum())
-			.isLessThanOrEqualTo(state.settings.maxTasks() + 20 * TaskFeeder.MIN_TASKS);
+			.isLessThanOrEqualTo(state.settings.maxTasks() + 20 * JobCost.MIN_TASKS_PER_STEP);
 		this.world.takeOver();
 		this.world.clock.runFor(3000);
 		SchedulerState successor = this.world.scheduler.state;
 		assertThat(successor.jobs.values().stream().mapToInt(Job::createdTasks).sum())
-			.isLessThanOrEqualTo(successor.settings.maxTasks() + 20 * TaskFeeder.MIN_TASKS);
+			.isLessThanOrEqualTo(successor.settings.maxTasks() + 20 * JobCost.MIN_TASKS_PER_STEP);
 	}
 
 	// Guards against tasks of steps that wait for other steps.
@@ -63,7 +64,8 @@
 	@Test
 	void aSmallJobStartsAtOnceWhileMoreTasksWaitThanAreCreated() {
 		addWorkers(this.world, 4);
-		this.world.settings = new SchedulerSettings(6000, 3, 4000, 4000, 3000, this.world.features, 90);
+		this.world.settings = new SchedulerSettings(6000, 3, 4000, 4000, 3000, this.world.features,
+				225 * JobCost.TASK_BYTES);
 		this.world.takeOver();
 		this.world.submit("wide", 2, VirtualWorld.step(50_000, 10, 60_000));
 		this.world.clock.runFor(3000);
