--- a/jobs/src/test/java/io/lentilstream/jobs/scheduling/LongRunningPlacementTests.java
+++ b/jobs/src/test/java/io/lentilstream/jobs/scheduling/LongRunningPlacementTests.java
@@ -167,6 +167,23 @@
 		assertThat(running(job)).isPositive();
 	}
 
+	// Guards against a task or gang that is passed over because more urgent ones of the
+	// same size keep arriving, which have not waited yet.
+	@ParameterizedTest
+	@ValueSource(booleans = { false, true })
+	void aTaskIsNotPassedOverBecauseMoreUrgentOnesKeepArriving(boolean gang) {
+		addWorkers(1);
+		this.world.takeOver();
+		StepSpec.Traits traits = new StepSpec.Traits(false, gang, false, true, false);
+		StepSpec step = VirtualWorld.withTraits(longRunning(2, new Resources(10, 10, 0), "", 0), traits);
+		JobSubmission job = this.world.submit("first", 2, step);
+		for (int i = 0; i < 10; i++) {
+			this.world.submit("urgent-" + i, 0, step);
+			this.world.clock.runFor(MAX_START_MILLIS / 10);
+		}
+		assertThat(running(job)).isEqualTo(2);
+	}
+
 	// Guards against a log that does not tell why a long-running task waits.
 	@Test
 	void theLogTellsWhyATaskWaits() {
