Survey the headroom once for each choice of a VM

The headroom was surveyed up to three times for each choice, and once for each VM when the log told why a task waits. Now once each. No decision changes.

--- a/cli/src/main/java/io/lentilstream/cli/explain/DecisionLine.java
+++ b/cli/src/main/java/io/lentilstream/cli/explain/DecisionLine.java
@@ -25,7 +25,7 @@
 	private static final ObjectMapper JSON = new ObjectMapper();
 
 	/** The decisions in the order of cause and effect. */
-	private static final List<String> CAUSAL_ORDER = List.of("job-refused", "job-submitted", "job-learnt",
+	private static final List<String> CAUSAL_ORDER = List.of("job-refused", "job-submitted", "job-learnt", "task-waits",
 			"run-adopted", "start-ordered", "copy-ordered", "start-refused", "start-unanswered", "run-paced",
 			"stop-ordered", "task-ended", "run-lost", "job-cancelled", "job-ended");
 
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
@@ -1,6 +1,6 @@
 package io.lentilstream.jobs.scheduling;
 
-import java.util.List;
+import io.lentilstream.model.ServiceName;
 
 /**
  * Keeps some VMs free of long-running tasks for urgent short tasks, which need reserved
@@ -46,47 +46,30 @@
 	}
 
 	/**
-	 * Tells whether a long-running task may be placed on a VM without such tasks.
-	 * @param task the task
-	 * @return {@code false} if such VMs are needed as headroom
+	 * Returns the use of a service by long-running tasks.
+	 * @param service the service
+	 * @return the use by the tasks that run now
 	 */
-	boolean mayTakeFreeWorker(Task task) {
-		Use use = Use.of(usableWorkers(task));
-		return use.free - use.largestFree >= required(use);
-	}
-
-	/**
-	 * Tells whether long-running tasks leave the largest headroom that is ever kept, also
-	 * beside another one.
-	 * @param task the task
-	 * @return {@code false} if urgent tasks may need the processor time
-	 */
-	boolean isAmpleBeside(Task task) {
-		Use use = Use.of(usableWorkers(task));
-		return use.unusedBeside(task) >= MAX_SHARE * use.capacity;
-	}
-
-	/**
-	 * Tells whether long-running tasks leave the headroom that urgent tasks have needed
-	 * lately, also beside another one.
-	 * @param task the task
-	 * @return {@code false} if urgent tasks may need the processor time
-	 */
-	boolean isEnoughBeside(Task task) {
-		Use use = Use.of(usableWorkers(task));
-		return use.unusedBeside(task) >= required(use);
-	}
-
-	private double required(Use use) {
-		return Math.max(MIN_SHARE * use.capacity, Math.min(MAX_SHARE * use.capacity, this.peakMilliCores));
-	}
-
-	private List<Worker> usableWorkers(Task task) {
-		return this.state.workers.values()
-			.stream()
-			.filter((worker) -> worker.hasReported && worker.unlistedSince < 0 && worker.missedReports == 0
-					&& !worker.evacuated && worker.listing.service().equals(task.job.policy.service()))
-			.toList();
+	Use use(ServiceName service) {
+		double capacity = 0;
+		double longRunning = 0;
+		double free = 0;
+		double largestFree = 0;
+		for (Worker worker : this.state.workers.values()) {
+			if (!worker.hasReported || worker.unlistedSince >= 0 || worker.missedReports > 0 || worker.evacuated
+					|| !worker.listing.service().equals(service)) {
+				continue;
+			}
+			long cores = worker.listing.capacity().milliCores();
+			capacity += cores;
+			longRunning += worker.longRunningDemand;
+			if (worker.longRunningDemand == 0) {
+				free += cores;
+				largestFree = Math.max(largestFree, cores);
+			}
+		}
+		double required = Math.max(MIN_SHARE * capacity, Math.min(MAX_SHARE * capacity, this.peakMilliCores));
+		return new Use(capacity, longRunning, free, largestFree, required);
 	}
 
 	/**
@@ -97,28 +80,40 @@
 	 * @param longRunning the processor time that long-running tasks reserve
 	 * @param free the capacity of the VMs without such tasks
 	 * @param largestFree the capacity of the largest of these
+	 * @param required what urgent tasks have needed lately
 	 */
-	private record Use(double capacity, double longRunning, double free, double largestFree) {
+	record Use(double capacity, double longRunning, double free, double largestFree, double required) {
+
+		/**
+		 * Tells whether a long-running task may be placed on a VM without such tasks.
+		 * @return {@code false} if such VMs are needed as headroom
+		 */
+		boolean mayTakeFreeWorker() {
+			return this.free - this.largestFree >= this.required;
+		}
 
-		double unusedBeside(Task task) {
-			return this.capacity - this.longRunning - task.spec().reserved().milliCores();
+		/**
+		 * Tells whether long-running tasks leave the largest headroom that is ever kept,
+		 * also beside another one.
+		 * @param task the task
+		 * @return {@code false} if urgent tasks may need the processor time
+		 */
+		boolean isAmpleBeside(Task task) {
+			return unusedBeside(task) >= MAX_SHARE * this.capacity;
 		}
 
-		static Use of(List<Worker> workers) {
-			double total = 0;
-			double used = 0;
-			double unusedWorkers = 0;
-			double largest = 0;
-			for (Worker worker : workers) {
-				long cores = worker.listing.capacity().milliCores();
-				total += cores;
-				used += worker.longRunningDemand;
-				if (worker.longRunningDemand == 0) {
-					unusedWorkers += cores;
-					largest = Math.max(largest, cores);
-				}
-			}
-			return new Use(total, used, unusedWorkers, largest);
+		/**
+		 * Tells whether long-running tasks leave the headroom that urgent tasks have
+		 * needed lately, also beside another one.
+		 * @param task the task
+		 * @return {@code false} if urgent tasks may need the processor time
+		 */
+		boolean isEnoughBeside(Task task) {
+			return unusedBeside(task) >= this.required;
+		}
+
+		private double unusedBeside(Task task) {
+			return this.capacity - this.longRunning - task.spec().reserved().milliCores();
 		}
 
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitReasonLogger.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WaitReasonLogger.java
@@ -2,8 +2,6 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
-import java.util.Optional;
-import java.util.TreeMap;
 
 /**
  * Logs once per second why tasks wait that should have started: long-running ones, and
@@ -21,7 +19,7 @@
 	private static final long MIN_WAIT_MILLIS = 3000;
 
 	/** The maximum number of tasks that are compared with all VMs. */
-	private static final int MAX_TASKS = 50;
+	private static final int MAX_TASKS = 20;
 
 	private static final int MAX_LINES = 5;
 
@@ -70,14 +68,7 @@
 		if (SuspectStarter.handles(task)) {
 			return (task.plannedStart != null) ? "start as a suspect is planned" : "waits for a start as a suspect";
 		}
-		Map<String, Integer> counts = new TreeMap<>();
-		for (Worker worker : this.state.workers.values()) {
-			Optional<PlacementObstacle> obstacle = this.workerSelector.obstacle(task, worker, now);
-			if (!obstacle.equals(Optional.of(PlacementObstacle.OTHER_SERVICE))) {
-				counts.merge(obstacle.map(PlacementObstacle::name).orElse("NONE"), 1, Integer::sum);
-			}
-		}
-		return counts.toString();
+		return this.workerSelector.countObstacles(task, this.state.workers.values(), now).toString();
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -2,7 +2,9 @@
 
 import java.util.Collection;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import java.util.TreeMap;
 
 import io.lentilstream.jobs.StepSpec;
 import io.lentilstream.model.Resources;
@@ -136,12 +138,16 @@
 	}
 
 	private FreeWorkerUse freeWorkerUse(Task task, long now) {
-		if (!task.spec().traits().longRunning() || this.headroom.mayTakeFreeWorker(task)) {
+		if (!task.spec().traits().longRunning()) {
+			return FreeWorkerUse.LIKE_OTHERS;
+		}
+		HeadroomReserve.Use use = this.headroom.use(task.job.policy.service());
+		if (use.mayTakeFreeWorker()) {
 			return FreeWorkerUse.LIKE_OTHERS;
 		}
 		PlacementConcessions concessions = concessions(task, now);
-		boolean permitted = task.hasRunBefore || concessions.freeWorkers() && this.headroom.isAmpleBeside(task)
-				|| concessions.headroom() && this.headroom.isEnoughBeside(task);
+		boolean permitted = task.hasRunBefore || concessions.freeWorkers() && use.isAmpleBeside(task)
+				|| concessions.headroom() && use.isEnoughBeside(task);
 		return permitted ? FreeWorkerUse.AFTER_OTHERS : FreeWorkerUse.NEVER;
 	}
 
@@ -184,17 +190,26 @@
 	}
 
 	/**
-	 * Returns why a VM does not take a task.
+	 * Returns why VMs do not take a task.
 	 * @param task the task
-	 * @param worker the VM
+	 * @param workers the VMs
 	 * @param now the current time in milliseconds
-	 * @return the reason, or empty if the VM takes the task
+	 * @return the number of VMs by reason; a VM that takes the task counts as
+	 * {@code NONE}
 	 */
-	Optional<PlacementObstacle> obstacle(Task task, Worker worker, long now) {
-		Optional<PlacementObstacle> found = obstacle(task, worker, "", now);
-		boolean keptFree = found.isEmpty() && worker.longRunningDemand == 0
-				&& freeWorkerUse(task, now) == FreeWorkerUse.NEVER;
-		return keptFree ? HEADROOM : found;
+	Map<String, Integer> countObstacles(Task task, Collection<Worker> workers, long now) {
+		boolean freeWorkersKept = freeWorkerUse(task, now) == FreeWorkerUse.NEVER;
+		Map<String, Integer> counts = new TreeMap<>();
+		for (Worker worker : workers) {
+			Optional<PlacementObstacle> found = obstacle(task, worker, "", now);
+			if (found.isEmpty() && freeWorkersKept && worker.longRunningDemand == 0) {
+				found = HEADROOM;
+			}
+			if (found != OTHER_SERVICE) {
+				counts.merge(found.map(PlacementObstacle::name).orElse("NONE"), 1, Integer::sum);
+			}
+		}
+		return counts;
 	}
 
 	private static boolean keptForOther(Task task, Worker worker) {
