Limit tasks by what they take, and discard done ones of narrow steps

Change: jobs cost what has to fit at any time; tasks beyond are counted apart, running ones at 1 KB, others at 450 bytes. While done ones take 30% of that memory, steps that open keep bits only, so that many narrow jobs cannot fill a leader with tasks that are done. Progress is stored in bits whenever a done task is not kept, whatever the width of its step.

--- a/jobs/src/main/java/io/lentilstream/jobs/JobCost.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/JobCost.java
@@ -11,6 +11,9 @@
 	/** The memory of a task with its run, in bytes. */
 	public static final int TASK_BYTES = 1000;
 
+	/** The memory of a task without a run, in bytes. */
+	public static final int IDLE_TASK_BYTES = 450;
+
 	/** The memory of an ended job until it is deleted, in bytes. */
 	public static final int ENDED_JOB_BYTES = 200;
 
@@ -57,14 +60,14 @@
 	}
 
 	/**
-	 * Returns the memory of the steps and occurrences of a job as they are.
+	 * Returns the memory of the steps and occurrences of a job as they are, without
+	 * tasks.
 	 * @param steps the number of steps in the incomplete occurrences
-	 * @param tasks the number of their tasks that have been created
 	 * @param completedOccurrences the number of completed occurrences
 	 * @return the number of bytes
 	 */
-	public static long currentBytes(int steps, int tasks, int completedOccurrences) {
-		return (long) steps * STEP_BYTES + (long) tasks * TASK_BYTES + (long) completedOccurrences * OCCURRENCE_BYTES;
+	public static long currentBytes(int steps, int completedOccurrences) {
+		return (long) steps * STEP_BYTES + (long) completedOccurrences * OCCURRENCE_BYTES;
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/Job.java
@@ -172,13 +172,13 @@
 	}
 
 	/**
-	 * Returns the memory that the job takes, or may take at any time.
+	 * Returns the memory that the job may take at any time, without the tasks that its
+	 * steps create beyond those that they may always have.
 	 * @return the number of bytes
 	 */
 	long memoryBytes() {
 		int steps = this.occurrences.size() * this.submission.steps().size();
-		long current = this.payloadBytes
-				+ JobCost.currentBytes(steps, createdTasks(), this.completedOccurrences.size());
+		long current = this.payloadBytes + JobCost.currentBytes(steps, this.completedOccurrences.size());
 		return active() ? Math.max(this.estimatedBytes, current) : current;
 	}
 
@@ -219,7 +219,7 @@
 		if (active()) {
 			this.occurrences.values().forEach((steps) -> steps.forEach((step) -> {
 				collectProgress(step, taskProgress);
-				if (step.wide() && step.done > 0) {
+				if (step.storesDoneBits()) {
 					stepProgress.add(new JobProgress.StepProgress(step.occurrence, step.number, step.doneBits()));
 				}
 			}));
@@ -230,7 +230,7 @@
 
 	private static void collectProgress(StepState step, List<JobProgress.TaskProgress> taskProgress) {
 		for (Task task : step.tasks()) {
-			if (task.done && step.wide()) {
+			if (task.done && step.storesDoneBits()) {
 				continue;
 			}
 			boolean started = step.spec.traits().longRunning() && task.lastRun > 0;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/SchedulerSettings.java
@@ -2,8 +2,6 @@
 
 import java.util.Set;
 
-import io.lentilstream.jobs.JobCost;
-
 /**
  * The limits that the platform sets for commands to VMs.
  *
@@ -81,11 +79,12 @@
 	}
 
 	/**
-	 * Returns the number of tasks from which each step has only a few at a time.
-	 * @return the number
+	 * Returns the memory for tasks that steps create beyond those that they may always
+	 * have.
+	 * @return the number of bytes
 	 */
-	int maxTasks() {
-		return (int) Math.min(Integer.MAX_VALUE, (this.maxJobBytes - maxAcceptedBytes()) / JobCost.TASK_BYTES);
+	long maxTaskBytes() {
+		return this.maxJobBytes - maxAcceptedBytes();
 	}
 
 	/**
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
@@ -19,7 +19,7 @@
 
 	/**
 	 * The number of tasks up to which a step keeps those that are done, for the times of
-	 * its job. Progress of a wider step is stored as a bit for each task.
+	 * its job, unless there are many tasks in all.
 	 */
 	static final int MAX_KEPT_TASKS = 256;
 
@@ -68,6 +68,9 @@
 
 	private final TreeMap<Integer, Task> tasks = new TreeMap<>();
 
+	/** Whether tasks are discarded when they are done. */
+	private boolean discardsDone;
+
 	/** The tasks that are done. */
 	private final BitSet doneTasks = new BitSet();
 
@@ -78,8 +81,8 @@
 	private int doneCreated;
 
 	/**
-	 * The task of a wide step that was done last, which tells when the step ended;
-	 * {@code null} if there is none.
+	 * The task that was done last, which tells when the step ended, if others are
+	 * discarded; {@code null} if there is none.
 	 */
 	private Task lastDone;
 
@@ -91,6 +94,9 @@
 		this.occurrence = occurrence;
 		this.number = number;
 		this.spec = spec;
+		if (spec.count() > MAX_KEPT_TASKS) {
+			discardDone();
+		}
 	}
 
 	/**
@@ -120,7 +126,7 @@
 		task.possiblyRunning = this.mayHaveUnknownRuns && !task.done;
 		task.dueAt = this.dueAt;
 		task.lateDueAt = this.lateDueAt;
-		if (!task.done || !wide()) {
+		if (!task.done || !this.discardsDone) {
 			this.tasks.put(index, task);
 			this.doneCreated += task.done ? 1 : 0;
 		}
@@ -165,7 +171,15 @@
 	 * @return the number
 	 */
 	int idleTasks() {
-		return openTasks() - this.tasksWithRuns;
+		return Math.max(0, openTasks() - this.tasksWithRuns);
+	}
+
+	/**
+	 * Returns the number of tasks that are done and have not been discarded.
+	 * @return the number
+	 */
+	long doneTasks() {
+		return this.doneCreated;
 	}
 
 	/**
@@ -178,11 +192,18 @@
 	}
 
 	/**
-	 * Tells whether tasks are discarded when they are done.
-	 * @return {@code true} if there are many
+	 * Tells whether the tasks that are done are stored as a bit each.
+	 * @return {@code false} if each of them has an entry of its own
+	 */
+	boolean storesDoneBits() {
+		return this.done > this.doneCreated || this.discardsDone && this.done > 0;
+	}
+
+	/**
+	 * Discards tasks when they are done, from now on.
 	 */
-	boolean wide() {
-		return this.spec.count() > MAX_KEPT_TASKS && !needsAllTasks();
+	void discardDone() {
+		this.discardsDone = !needsAllTasks();
 	}
 
 	/**
@@ -193,7 +214,7 @@
 		task.done = true;
 		recordDone(task.name.index());
 		this.doneCreated++;
-		if (wide()) {
+		if (this.discardsDone) {
 			if (this.lastDone != null) {
 				this.tasks.remove(this.lastDone.name.index());
 				this.doneCreated--;
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/TaskFeeder.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/TaskFeeder.java
@@ -2,27 +2,35 @@
 
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Set;
 
 import io.lentilstream.jobs.JobCost;
 
 /**
  * Creates the tasks of released steps. Steps create more tasks as earlier ones start, so
- * that waiting tasks cost a leader nothing. While there are many tasks in all, each step
- * has only a few, so that small jobs do not wait behind wide ones.
+ * that waiting tasks cost a leader nothing. While the tasks of all jobs take much memory,
+ * each step has only a few, so that small jobs do not wait behind wide ones, and those
+ * that are done are discarded.
  */
 final class TaskFeeder {
 
 	/** The number of tasks of a step that wait for their start at a time. */
 	static final int MAX_IDLE_TASKS = 256;
 
+	/** The share of the memory for tasks that those that are done may take. */
+	private static final double DONE_SHARE = 0.3;
+
 	private final SchedulerState state;
 
 	/** The released steps that have not created all tasks. */
 	private final Set<StepState> unfinished = new LinkedHashSet<>();
 
-	/** The number of tasks of all active jobs, counted a short time ago. */
-	private int tasks;
+	/** The memory of tasks that are not done, counted a short time ago, in bytes. */
+	private long openBytes;
+
+	/** The memory of tasks that are done, counted a short time ago, in bytes. */
+	private long doneBytes;
 
 	TaskFeeder(SchedulerState state) {
 		this.state = state;
@@ -33,6 +41,9 @@
 	 * @param step the step
 	 */
 	void stepReleased(StepState step) {
+		if (this.doneBytes > DONE_SHARE * this.state.settings.maxTaskBytes()) {
+			step.discardDone();
+		}
 		feed(step);
 		if (step.hasUncreatedTasks()) {
 			this.unfinished.add(step);
@@ -61,7 +72,7 @@
 			if (task == null) {
 				return;
 			}
-			this.tasks++;
+			this.openBytes += JobCost.TASK_BYTES;
 			if (task.startable()) {
 				this.state.addWaiting(task);
 			}
@@ -72,21 +83,27 @@
 		if (step.idleTasks() >= MAX_IDLE_TASKS) {
 			return false;
 		}
-		return this.tasks < this.state.settings.maxTasks()
+		return this.openBytes < (1 - DONE_SHARE) * this.state.settings.maxTaskBytes()
 				|| step.idleTasks() + step.tasksWithRuns < JobCost.MIN_TASKS_PER_STEP;
 	}
 
 	/**
-	 * Counts the tasks of all active jobs.
+	 * Counts the memory of the tasks of all jobs.
 	 */
 	void countTasks() {
-		int count = 0;
+		long open = 0;
+		long done = 0;
 		for (Job job : this.state.jobs.values()) {
-			if (job.active()) {
-				count += job.createdTasks();
+			for (List<StepState> steps : job.occurrences.values()) {
+				for (StepState step : steps) {
+					long idle = step.idleTasks();
+					open += step.tasksWithRuns * JobCost.TASK_BYTES + idle * JobCost.IDLE_TASK_BYTES;
+					done += step.doneTasks() * JobCost.IDLE_TASK_BYTES;
+				}
 			}
 		}
-		this.tasks = count;
+		this.openBytes = open;
+		this.doneBytes = done;
 	}
 
 	/**
