--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementConcessions.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementConcessions.java
@@ -3,17 +3,34 @@
 /**
  * The restrictions on VMs that no longer apply to a task, mostly since it has waited for
  * some time. If no VM fits a task, then none fits another task of its step with the same
- * concessions.
- *
- * @param freeWorkers whether it may take a VM without long-running tasks if these leave
- * ample processor time for urgent tasks
- * @param headroom whether it may take such a VM if long-running tasks leave as much
- * processor time as urgent tasks have needed lately
- * @param trials whether it may start beside a trial
- * @param faults whether it may start on a VM that may be faulty
- * @param highTails whether it may start beside serving tasks with high tail latencies
+ * concessions. They are bits of a number, since they are computed for each waiting task
+ * in each placement pass.
  */
-record PlacementConcessions(boolean freeWorkers, boolean headroom, boolean trials, boolean faults, boolean highTails) {
+final class PlacementConcessions {
+
+	/**
+	 * May take a VM without long-running tasks if these leave ample processor time for
+	 * urgent tasks.
+	 */
+	static final int FREE_WORKERS = 1;
+
+	/**
+	 * May take such a VM if long-running tasks leave as much processor time as urgent
+	 * tasks have needed lately.
+	 */
+	static final int HEADROOM = 2;
+
+	/** May start beside a trial. */
+	static final int TRIALS = 4;
+
+	/** May start on a VM that may be faulty. */
+	static final int FAULTS = 8;
+
+	/** May start beside serving tasks with high tail latencies. */
+	static final int HIGH_TAILS = 16;
+
+	/** The number of bits. */
+	static final int BITS = 5;
 
 	/**
 	 * How long a long-running task waits for a VM that has such tasks already, in
@@ -34,13 +51,32 @@
 	 */
 	private static final long MAX_TRIAL_HOLD_MILLIS = 2000;
 
-	static PlacementConcessions of(Task task, boolean faults, boolean highTails, long now) {
-		boolean longRunning = task.spec().traits().longRunning();
+	private PlacementConcessions() {
+	}
+
+	/**
+	 * Returns the concessions to a task.
+	 * @param task the task
+	 * @param others concessions that do not depend on the wait of the task alone
+	 * @param now the current time in milliseconds
+	 * @return the bits
+	 */
+	static int of(Task task, int others, long now) {
+		if (!task.spec().traits().longRunning()) {
+			return others;
+		}
 		long waited = now - task.waitingSince;
-		return new PlacementConcessions(longRunning && (task.hasRunBefore || waited >= MAX_GROUPING_MILLIS),
-				longRunning && (task.hasRunBefore || waited >= MAX_AMPLE_HEADROOM_MILLIS),
-				longRunning && waited >= MAX_TRIAL_HOLD_MILLIS && task.suspicion.crashes().isEmpty(), faults,
-				highTails);
+		int found = others;
+		if (task.hasRunBefore || waited >= MAX_GROUPING_MILLIS) {
+			found |= FREE_WORKERS;
+		}
+		if (task.hasRunBefore || waited >= MAX_AMPLE_HEADROOM_MILLIS) {
+			found |= HEADROOM;
+		}
+		if (waited >= MAX_TRIAL_HOLD_MILLIS && task.suspicion.crashes().isEmpty()) {
+			found |= TRIALS;
+		}
+		return found;
 	}
 
 }
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementPass.java
@@ -3,7 +3,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -48,7 +47,9 @@
 	 */
 	private final List<Run> reserved = new ArrayList<>();
 
-	private final Map<PlacementClass, StepCandidates> candidates = new HashMap<>();
+	private final Map<StepState, Map<Integer, StepCandidates>> candidates = new HashMap<>();
+
+	private long passNumber;
 
 	/** When the next pass may begin, in milliseconds. */
 	private long nextPassAt = Long.MIN_VALUE;
@@ -85,7 +86,7 @@
 	}
 
 	private void place(long now) {
-		Set<PlacementClass> blocked = new HashSet<>();
+		this.passNumber++;
 		Map<Requirements, Resources> refusedSizes = new HashMap<>();
 		for (Task task : this.placementOrder.waitingTasks(now)) {
 			if (this.state.startsInFlight >= MAX_STARTS_IN_FLIGHT) {
@@ -95,28 +96,27 @@
 					|| this.state.firstStartDebouncer.defers(task, now)) {
 				continue;
 			}
-			PlacementClass placementClass = PlacementClass.of(task, this.workerSelector, now);
-			if (blocked.contains(placementClass)) {
+			int concessions = task.spec().traits().gang() ? 0 : this.workerSelector.concessions(task, now);
+			if (task.step.refusedInPass(this.passNumber, task.hasRunBefore, concessions)) {
 				continue;
 			}
 			if (SuspectStarter.handles(task)) {
 				this.suspectStarter.advance(task, now);
 				continue;
 			}
-			Requirements requirements = Requirements.of(task, placementClass.concessions);
+			Requirements requirements = Requirements.of(task, concessions);
 			if (refused(requirements, task, refusedSizes)
 					|| requirements.members() > 0 && refused(requirements.ofMember(), task, refusedSizes)) {
 				continue;
 			}
-			Outcome outcome = task.spec().traits().gang() ? startGang(task.step, now)
-					: start(task, placementClass, now);
+			Outcome outcome = task.spec().traits().gang() ? startGang(task.step, now) : start(task, concessions, now);
 			if (outcome == Outcome.WAITS_FOR_PLACE) {
 				continue;
 			}
 			if (outcome == Outcome.STARTED || outcome == Outcome.NOT_RECORDED && !task.spec().traits().gang()) {
 				continue;
 			}
-			blocked.add(placementClass);
+			task.step.refuseInPass(this.passNumber, task.hasRunBefore, concessions);
 			if (outcome == Outcome.NO_CAPACITY && requirements.comparable()) {
 				refusedSizes.put(requirements, task.spec().size());
 			}
@@ -143,8 +143,8 @@
 		}
 	}
 
-	private Outcome start(Task task, PlacementClass placementClass, long now) {
-		Worker worker = choose(task, placementClass, now);
+	private Outcome start(Task task, int concessions, long now) {
+		Worker worker = choose(task, concessions, now);
 		if (worker == null) {
 			this.placeWaits.refused(task);
 			return Outcome.NO_CAPACITY;
@@ -162,11 +162,11 @@
 		return Outcome.STARTED;
 	}
 
-	private Worker choose(Task task, PlacementClass placementClass, long now) {
+	private Worker choose(Task task, int concessions, long now) {
 		Collection<Worker> workers = this.state.workers.values();
 		if (StepCandidates.suits(task)) {
-			return this.candidates
-				.computeIfAbsent(placementClass, (key) -> new StepCandidates(this.workerSelector, task, workers, now))
+			return this.candidates.computeIfAbsent(task.step, (step) -> new HashMap<>())
+				.computeIfAbsent(concessions, (key) -> new StepCandidates(this.workerSelector, task, workers, now))
 				.best(task, now);
 		}
 		String rack = task.spec().placement().sameRack() ? rackOf(task.step) : ANY_RACK;
@@ -275,27 +275,6 @@
 
 	}
 
-	/**
-	 * The tasks of a step of which none starts in a pass if one of them is refused. The
-	 * members of a gang are refused together.
-	 *
-	 * @param step the step
-	 * @param hasRunBefore whether the tasks have run before
-	 * @param concessions the restrictions that do not apply to them
-	 */
-	private record PlacementClass(StepState step, boolean hasRunBefore, PlacementConcessions concessions) {
-
-		private static final PlacementConcessions OF_GANG = new PlacementConcessions(false, false, false, false, false);
-
-		static PlacementClass of(Task task, WorkerSelector workerSelector, long now) {
-			if (task.spec().traits().gang()) {
-				return new PlacementClass(task.step, false, OF_GANG);
-			}
-			return new PlacementClass(task.step, task.hasRunBefore, workerSelector.concessions(task, now));
-		}
-
-	}
-
 	/**
 	 * The requirements of a task on its VM, or of a gang on the VMs of its members. If no
 	 * VM fits a task, then none fits a task with the same requirements that is at least
@@ -311,9 +290,9 @@
 	 * @param concessions the restrictions that do not apply
 	 */
 	private record Requirements(ServiceName service, int members, String kind, String image,
-			StepSpec.Placement placement, PlacementConcessions concessions) {
+			StepSpec.Placement placement, int concessions) {
 
-		static Requirements of(Task task, PlacementConcessions concessions) {
+		static Requirements of(Task task, int concessions) {
 			StepSpec spec = task.spec();
 			int members = spec.traits().gang() ? spec.count() : 0;
 			return new Requirements(task.job.policy.service(), members, kind(task),
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/StepState.java
@@ -71,6 +71,12 @@
 	/** Whether tasks are discarded when they are done. */
 	private boolean discardsDone;
 
+	/** The last placement pass in which a task was refused. */
+	private long refusedPass = -1;
+
+	/** A bit for each kind of task that was refused in it. */
+	private long refusedKinds;
+
 	/** The tasks that are done. */
 	private final BitSet doneTasks = new BitSet();
 
@@ -206,6 +212,30 @@
 		this.discardsDone = !needsAllTasks();
 	}
 
+	/**
+	 * Records that a task was refused, so that none of its kind need be tried in a pass.
+	 * The members of a gang are refused together.
+	 * @param pass the number of the pass
+	 * @param hasRunBefore whether the task has run before
+	 * @param concessions the concessions to the task
+	 */
+	void refuseInPass(long pass, boolean hasRunBefore, int concessions) {
+		if (this.refusedPass != pass) {
+			this.refusedPass = pass;
+			this.refusedKinds = 0;
+		}
+		this.refusedKinds |= kind(hasRunBefore, concessions);
+	}
+
+	boolean refusedInPass(long pass, boolean hasRunBefore, int concessions) {
+		return this.refusedPass == pass && (this.refusedKinds & kind(hasRunBefore, concessions)) != 0;
+	}
+
+	private long kind(boolean hasRunBefore, int concessions) {
+		boolean rerun = hasRunBefore && !this.spec.traits().gang();
+		return 1L << (concessions | (rerun ? 1 << PlacementConcessions.BITS : 0));
+	}
+
 	/**
 	 * Records that a task is done.
 	 * @param task the task
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -111,11 +111,13 @@
 	 * Returns the restrictions that no longer apply to a waiting task.
 	 * @param task the task
 	 * @param now the current time in milliseconds
-	 * @return the concessions
+	 * @return the bits of {@link PlacementConcessions}
 	 */
-	PlacementConcessions concessions(Task task, long now) {
+	int concessions(Task task, long now) {
 		boolean highTails = task.spec().traits().bestEffort() && starves(task, now);
-		return PlacementConcessions.of(task, this.reliability.permitsAny(task, now), highTails, now);
+		int others = (this.reliability.permitsAny(task, now) ? PlacementConcessions.FAULTS : 0)
+				| (highTails ? PlacementConcessions.HIGH_TAILS : 0);
+		return PlacementConcessions.of(task, others, now);
 	}
 
 	Worker choose(Task task, Collection<Worker> workers, String rack, long now) {
@@ -145,9 +147,10 @@
 		if (use.mayTakeFreeWorker()) {
 			return FreeWorkerUse.LIKE_OTHERS;
 		}
-		PlacementConcessions concessions = concessions(task, now);
-		boolean permitted = task.hasRunBefore || concessions.freeWorkers() && use.isAmpleBeside(task)
-				|| concessions.headroom() && use.isEnoughBeside(task);
+		int concessions = concessions(task, now);
+		boolean permitted = task.hasRunBefore
+				|| (concessions & PlacementConcessions.FREE_WORKERS) != 0 && use.isAmpleBeside(task)
+				|| (concessions & PlacementConcessions.HEADROOM) != 0 && use.isEnoughBeside(task);
 		return permitted ? FreeWorkerUse.AFTER_OTHERS : FreeWorkerUse.NEVER;
 	}
 
@@ -165,15 +168,15 @@
 	 */
 	private Optional<PlacementObstacle> obstacle(Task task, Worker worker, String rack, long now) {
 		StepSpec spec = task.spec();
-		if (keptForOther(task, worker) && !concessions(task, now).trials()) {
+		if (keptForOther(task, worker) && (concessions(task, now) & PlacementConcessions.TRIALS) == 0) {
 			return KEPT_FOR_TRIAL;
 		}
-		if (!worker.listing.service().equals(task.job.policy.service())) {
-			return OTHER_SERVICE;
-		}
 		if (!worker.acceptsTasks(now)) {
 			return TAKES_NO_TASKS;
 		}
+		if (!worker.listing.service().equals(task.job.policy.service())) {
+			return OTHER_SERVICE;
+		}
 		if (worker.startsInFlight >= Worker.MAX_STARTS_IN_FLIGHT) {
 			return STARTS_IN_FLIGHT;
 		}
@@ -201,13 +204,14 @@
 		boolean freeWorkersKept = freeWorkerUse(task, now) == FreeWorkerUse.NEVER;
 		Map<String, Integer> counts = new TreeMap<>();
 		for (Worker worker : workers) {
+			if (!worker.listing.service().equals(task.job.policy.service())) {
+				continue;
+			}
 			Optional<PlacementObstacle> found = obstacle(task, worker, "", now);
 			if (found.isEmpty() && freeWorkersKept && worker.longRunningDemand == 0) {
 				found = HEADROOM;
 			}
-			if (found != OTHER_SERVICE) {
-				counts.merge(found.map(PlacementObstacle::name).orElse("NONE"), 1, Integer::sum);
-			}
+			counts.merge(found.map(PlacementObstacle::name).orElse("NONE"), 1, Integer::sum);
 		}
 		return counts;
 	}
@@ -252,14 +256,17 @@
 
 	// The throttle slows such a task down if it raises a tail latency over its target.
 	private boolean starves(Task task, long now) {
-		if (now - task.waitingSince < STARVING_MILLIS || !this.utilization.mostlyFree(task.job.policy.service())) {
+		if (now - task.waitingSince < STARVING_MILLIS) {
 			return false;
 		}
-		if (task.spec().traits().longRunning()) {
-			return true;
+		if (!task.spec().traits().longRunning()) {
+			for (StepState step : task.job.occurrences.getOrDefault(task.step.occurrence, List.of())) {
+				if (step.runs > 0) {
+					return false;
+				}
+			}
 		}
-		List<StepState> steps = task.job.occurrences.getOrDefault(task.step.occurrence, List.of());
-		return steps.stream().allMatch((step) -> step.runs == 0);
+		return this.utilization.mostlyFree(task.job.policy.service());
 	}
 
 	private boolean tailsStayLow(Task bestEffort, Worker worker, long now) {
