Keep the shares of processes while a new leader loads the jobs

A leader that had not loaded the jobs shared out nothing, so that for the time of a takeover all jobs would have been refused.

Such a leader now tells that it does not know. JobAdmissionTests has a case.

--- a/control/src/main/java/io/lentilstream/control/api/JobAdmission.java
+++ b/control/src/main/java/io/lentilstream/control/api/JobAdmission.java
@@ -27,6 +27,9 @@
 	 */
 	private static final int INITIAL_SHARE_DIVISOR = 32;
 
+	/** The share that a leader tells that has not loaded the jobs yet. */
+	private static final long UNKNOWN_SHARE = -1;
+
 	private final LeaderConnection leaderConnection;
 
 	private final Supplier<Optional<Term>> term;
@@ -67,15 +70,21 @@
 	public void leaderAnswered(PeerFrame pong) {
 		OptionalLong received = pong.contentValue();
 		this.unlimited = received.isEmpty();
-		received.ifPresent((bytes) -> this.share = Math.max(0, bytes - this.pending));
+		if (received.isPresent() && received.getAsLong() != UNKNOWN_SHARE) {
+			this.share = Math.max(0, received.getAsLong() - this.pending);
+		}
 	}
 
 	/**
 	 * Returns the memory that each process may accept jobs for.
 	 * @param leading the term of this process
-	 * @return the share in bytes
+	 * @return the share in bytes; negative if it is not known yet, so that each process
+	 * goes on with what is left of its share
 	 */
 	public long shareOfEach(Term leading) {
+		if (!leading.begun()) {
+			return UNKNOWN_SHARE;
+		}
 		return leading.freeJobBytes() / 2 / (this.followers.getAsInt() + 1);
 	}
 
--- a/control/src/test/java/io/lentilstream/control/api/JobAdmissionTests.java
+++ b/control/src/test/java/io/lentilstream/control/api/JobAdmissionTests.java
@@ -140,6 +140,20 @@
 		assertThat(this.outcomes.get(19)).isEqualTo(SubmissionWriter.Outcome.NO_CAPACITY);
 	}
 
+	// Guards against jobs that are refused at each change of leader, until the new one
+	// has
+	// loaded the others.
+	@Test
+	void aLeaderThatHasNotLoadedTheJobsTakesNoShareAway() {
+		this.admission.leaderAnswered(pong(100_000));
+		Term loading = lead(MemoryStore.Mode.REFUSES);
+		assertThat(loading.begun()).isFalse();
+		this.store.mode = MemoryStore.Mode.WORKS;
+		this.admission.leaderAnswered(pong(this.admission.shareOfEach(loading)));
+		submit(job("job", 100, 1));
+		assertThat(this.outcomes).containsExactly(SubmissionWriter.Outcome.STORED);
+	}
+
 	// Guards against jobs that are refused during an upgrade, while an earlier version
 	// leads.
 	@Test
@@ -211,6 +225,10 @@
 	}
 
 	private Term lead() {
+		return lead(MemoryStore.Mode.WORKS);
+	}
+
+	private Term lead(MemoryStore.Mode storeMode) {
 		this.store.put(Leadership.LEADER_KEY, new byte[1]);
 		List<Long> token = new ArrayList<>();
 		this.store.read(Leadership.LEADER_KEY, (reply) -> {
@@ -223,6 +241,7 @@
 				new Leadership.LeaderTerm(1, token.get(0), () -> Long.MAX_VALUE, false), new UnusedPlatform(), SETTINGS,
 				60_000, (reason) -> {
 				}, () -> true, () -> 0);
+		this.store.mode = storeMode;
 		next.start();
 		this.loop.runFor(500);
 		return next;
