Keep whole VMs free of long-running tasks on full services

Cause: from 2 s on a first start could take a VM without long-running tasks down to 5% of the processor time, so that no VM was left without serving tasks, beside which best-effort tasks are placed with care.

--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/HeadroomReserve.java
@@ -99,21 +99,8 @@
 		 * @return {@code false} if urgent tasks may need the processor time
 		 */
 		boolean isAmpleBeside(Task task) {
-			return unusedBeside(task) >= MAX_SHARE * this.capacity;
-		}
-
-		/**
-		 * Tells whether long-running tasks leave the headroom that urgent tasks have
-		 * needed lately, also beside another one.
-		 * @param task the task
-		 * @return {@code false} if urgent tasks may need the processor time
-		 */
-		boolean isEnoughBeside(Task task) {
-			return unusedBeside(task) >= this.required;
-		}
-
-		private double unusedBeside(Task task) {
-			return this.capacity - this.longRunning - task.spec().reserved().milliCores();
+			double unused = this.capacity - this.longRunning - task.spec().reserved().milliCores();
+			return unused >= MAX_SHARE * this.capacity;
 		}
 
 	}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementConcessions.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/PlacementConcessions.java
@@ -14,37 +14,24 @@
 	 */
 	static final int FREE_WORKERS = 1;
 
-	/**
-	 * May take such a VM if long-running tasks leave as much processor time as urgent
-	 * tasks have needed lately.
-	 */
-	static final int HEADROOM = 2;
-
 	/** May start beside a trial. */
-	static final int TRIALS = 4;
+	static final int TRIALS = 2;
 
 	/** May start on a VM that may be faulty. */
-	static final int FAULTS = 8;
+	static final int FAULTS = 4;
 
 	/** May start beside serving tasks with high tail latencies. */
-	static final int HIGH_TAILS = 16;
+	static final int HIGH_TAILS = 8;
 
 	/** The number of bits. */
-	static final int BITS = 5;
+	static final int BITS = 4;
 
 	/**
 	 * How long a long-running task waits for a VM that has such tasks already, in
-	 * milliseconds.
+	 * milliseconds. Such tasks have to start within 3 s.
 	 */
 	private static final long MAX_GROUPING_MILLIS = 1200;
 
-	/**
-	 * How long a long-running task waits while more processor time is kept for urgent
-	 * tasks than these have needed lately, in milliseconds. Long-running tasks have to
-	 * start within 3 s.
-	 */
-	private static final long MAX_AMPLE_HEADROOM_MILLIS = 2000;
-
 	/**
 	 * How long a long-running task is kept from a VM by the trial of another task, in
 	 * milliseconds.
@@ -70,9 +57,6 @@
 		if (task.hasRunBefore || waited >= MAX_GROUPING_MILLIS) {
 			found |= FREE_WORKERS;
 		}
-		if (task.hasRunBefore || waited >= MAX_AMPLE_HEADROOM_MILLIS) {
-			found |= HEADROOM;
-		}
 		if (waited >= MAX_TRIAL_HOLD_MILLIS && task.suspicion.crashes().isEmpty()) {
 			found |= TRIALS;
 		}
--- a/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/scheduling/WorkerSelector.java
@@ -149,8 +149,7 @@
 		}
 		int concessions = concessions(task, now);
 		boolean permitted = task.hasRunBefore
-				|| (concessions & PlacementConcessions.FREE_WORKERS) != 0 && use.isAmpleBeside(task)
-				|| (concessions & PlacementConcessions.HEADROOM) != 0 && use.isEnoughBeside(task);
+				|| (concessions & PlacementConcessions.FREE_WORKERS) != 0 && use.isAmpleBeside(task);
 		return permitted ? FreeWorkerUse.AFTER_OTHERS : FreeWorkerUse.NEVER;
 	}
 
