--- a/jobs/src/main/java/io/lentilstream/jobs/JobCost.java
+++ b/jobs/src/main/java/io/lentilstream/jobs/JobCost.java
@@ -3,8 +3,7 @@
 import java.util.Arrays;
 
 /**
- * Estimates the memory that an accepted job takes in a leader. The figures were measured
- * on a 64-bit virtual machine with compressed references.
+ * Estimates the memory that an accepted job takes in a leader.
  */
 public final class JobCost {
 
